--- /dev/null
+++ b/tests/RouteTableTests.cpp
@@ -0,0 +1,70 @@
+#define BOOST_TEST_MODULE RouteTable
+#include "Gooseberrymill.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+Route makeRoute(std::string name, std::string path, std::vector<std::string> methods = {})
+{
+    Route route;
+    route.name = std::move(name);
+    route.path = std::move(path);
+    route.methods = std::move(methods);
+    return route;
+}
+
+RouteTable makeTable(std::vector<Route> routes)
+{
+    auto document = std::make_shared<Configuration>();
+    Service& service = document->services.emplace_back();
+    service.name = "katalog";
+    service.routes = std::move(routes);
+    return RouteTable({ document });
+}
+
+std::string routeName(const RouteTable& table, std::string_view method, std::string_view target)
+{
+    auto match = table.match(method, target);
+    return match ? match->route->name : "";
+}
+
+} // namespace
+
+// Guards against a general route taking requests of a more specific one.
+BOOST_AUTO_TEST_CASE(picksMostSpecificRoute)
+{
+    RouteTable table = makeTable({ makeRoute("all", "/*"), makeRoute("frames", "/frames/*"),
+        makeRoute("peacock", "/frames/peacock"), makeRoute("deep", "/frames/birds/*") });
+    BOOST_TEST(routeName(table, "GET", "/frames/peacock") == "peacock");
+    BOOST_TEST(routeName(table, "GET", "/frames/peacock?x=/frames/birds/") == "peacock");
+    BOOST_TEST(routeName(table, "GET", "/frames/peacocks") == "frames");
+    BOOST_TEST(routeName(table, "GET", "/frames/birds/owl") == "deep");
+    BOOST_TEST(routeName(table, "GET", "/frames") == "all");
+    BOOST_TEST(routeName(table, "GET", "/") == "all");
+}
+
+// Guards against a route answering a method it does not declare.
+BOOST_AUTO_TEST_CASE(fallsBackWhenMethodDiffers)
+{
+    RouteTable table
+        = makeTable({ makeRoute("read", "/orders/*", { "GET" }), makeRoute("write", "/orders/*", { "POST" }) });
+    BOOST_TEST(routeName(table, "GET", "/orders/1") == "read");
+    BOOST_TEST(routeName(table, "POST", "/orders/1") == "write");
+    BOOST_TEST(routeName(table, "PUT", "/orders/1") == "");
+}
+
+// Guards against a service of one document hiding those of another.
+BOOST_AUTO_TEST_CASE(findsServicesOfAllDocuments)
+{
+    auto first = std::make_shared<Configuration>();
+    first->services.emplace_back().name = "sello";
+    auto second = std::make_shared<Configuration>();
+    second->services.emplace_back().name = "archivo";
+    RouteTable table({ first, second });
+    BOOST_REQUIRE(table.service("sello"));
+    BOOST_REQUIRE(table.service("archivo"));
+    BOOST_TEST(!table.service("banco"));
+}
