Add at-most-once execution: operation table and store claims

Cause: a payout or order that a caller sends again, to another node or after a crash, must run at most once although claims travel through a store that loses replies and goes away.

Change: OperationTable decides for each request of a key or token; ClaimLedger claims keys by conditional writes that are shared per service, shard and hour; QueryOfDeathFilter counts crashes per request fingerprint across nodes. A refusal now speaks of the operation, not of the single request: with the store unavailable a key is "unknown", since an earlier request may have run elsewhere.

--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -32,9 +32,12 @@
 #include "core/Admission.h" // concurrency limit and queue of one upstream
 #include "core/Balancer.h" // choice of an upstream
 #include "core/Basics.h" // time, identifiers, outcomes, errors
+#include "core/ClaimLedger.h" // claims of idempotency keys in the store
 #include "core/Configuration.h" // services, routes, policies
 #include "core/Ejection.h" // floor-safe ejection
 #include "core/Health.h" // evidence and verdicts
 #include "core/Membership.h" // failure detection and dissemination
 #include "core/ObjectStore.h" // the platform's store, as a concept
+#include "core/OperationTable.h" // at-most-once execution at one executor
+#include "core/QueryOfDeathFilter.h" // requests that crash upstreams
 #include "core/RelayMessages.h" // messages between nodes
--- a/src/core/Basics.h
+++ b/src/core/Basics.h
@@ -89,6 +89,7 @@
     RelayFailed,
     ShuttingDown,
     Overloaded, // a limit on connections or memory
+    AnswerNotRecorded, // the operation ran, but its answer is no longer held
 };
 
 std::string_view toString(Outcome);
