Record that an operation ran when its answer is too large to keep

Cause: an answer above the recording limit left the operation without an end, so a duplicate would wait.

Change: finishedUnrecorded() ends the operation; duplicates are told that it ran.

--- a/src/core/OperationTable.cpp
+++ b/src/core/OperationTable.cpp
@@ -251,22 +251,35 @@
     return true;
 }
 
-std::vector<OperationCompletion> OperationTable::finished(
-    const Id128& operation, RecordedAnswer answer, bool delivered, Instant now)
+OperationTable::Entry* OperationTable::endDispatched(const Id128& operation, bool delivered, Instant now)
 {
     auto it = m_entries.find(operation);
     if (it == m_entries.end() || it->second.state != State::Dispatched)
-        return {};
+        return nullptr;
     Entry& entry = it->second;
     entry.state = State::Ran;
-    entry.status = answer.status;
-    entry.resolved = delivered;
     entry.owner = 0;
+    entry.resolved = delivered;
     entry.keepUntil = std::max(entry.keepUntil, now + m_limits.abandonedTokenAge);
-    record(operation, entry, std::move(answer));
-    if (!entry.waiters.empty())
-        entry.resolved = true;
-    return completeWaiters(entry);
+    return &entry;
+}
+
+std::vector<OperationCompletion> OperationTable::finished(
+    const Id128& operation, RecordedAnswer answer, bool delivered, Instant now)
+{
+    Entry* entry = endDispatched(operation, delivered, now);
+    if (!entry)
+        return {};
+    entry->status = answer.status;
+    entry->resolved = delivered || !entry->waiters.empty();
+    record(operation, *entry, std::move(answer));
+    return completeWaiters(*entry);
+}
+
+std::vector<OperationCompletion> OperationTable::finishedUnrecorded(const Id128& operation, bool delivered, Instant now)
+{
+    Entry* entry = endDispatched(operation, delivered, now);
+    return entry ? completeWaiters(*entry) : std::vector<OperationCompletion> {};
 }
 
 std::vector<OperationCompletion> OperationTable::failed(const Id128& operation, RefusalReason reason, Instant)
--- a/src/core/OperationTable.h
+++ b/src/core/OperationTable.h
@@ -105,6 +105,9 @@
     // The upstream gave a whole answer. Completions go to all waiters but the owner.
     std::vector<OperationCompletion> finished(const Id128& operation, RecordedAnswer, bool delivered, Instant now);
 
+    // As finished(), for an answer that was too large to record.
+    std::vector<OperationCompletion> finishedUnrecorded(const Id128& operation, bool delivered, Instant now);
+
     // The execution ended without a whole answer. When nothing was dispatched the operation stays open
     // and may be run by a later request.
     std::vector<OperationCompletion> failed(const Id128& operation, RefusalReason, Instant now);
@@ -162,6 +165,7 @@
     OperationDecision join(Entry&, const OperationRequest&, WaiterId, Instant now);
     OperationDecision describe(const Entry&) const;
     std::vector<OperationCompletion> completeWaiters(Entry&);
+    Entry* endDispatched(const Id128& operation, bool delivered, Instant now);
     void record(const Id128& operation, Entry&, RecordedAnswer);
     void forgetAnswer(const Id128& operation, Entry&);
 
--- /dev/null
+++ b/src/node/OperationService.h
@@ -0,0 +1,191 @@
+// At-most-once execution at an executor: connects the executor's gate with the operation table and the
+// claims in the store. Lives on the executor's task.
+#pragma once
+
+#include "ClaimWriter.h"
+#include "core/OperationTable.h"
+#include "Executor.h"
+#include "FleetAuth.h"
+
+namespace Gooseberrymill {
+
+template <ObjectStore Store> class OperationService {
+public:
+    // `store` may be null: then keys cannot be claimed and only tokens work.
+    OperationService(Id128 incarnation, OperationLimits limits, Store* store)
+        : m_table(incarnation, limits)
+        , m_limits(limits)
+    {
+        if (store) {
+            m_claims.emplace(*store, ClaimLedger(incarnation, ClaimSettings {}), currentInstant,
+                [this](const ClaimSettled& settled) { deliver(m_table.claimSettled(settled, currentInstant())); });
+        }
+    }
+
+    void setRoutes(std::shared_ptr<const RouteTable> routes) { m_routes = std::move(routes); }
+
+    OperationGate gate()
+    {
+        OperationGate gate;
+        gate.begin = [this](const RequestHead& head, std::string_view body, Decide decide) {
+            begin(head, body, std::move(decide));
+        };
+        gate.settle = [this](const RequestHead& head, std::shared_ptr<const StoredResponse> response, bool delivered) {
+            settle(head, response, delivered);
+        };
+        gate.finish = [this](const RequestHead& head, const Refusal& refusal) { finish(head, refusal); };
+        return gate;
+    }
+
+    // Binds a new operation to this incarnation; a zero operation when the table is full.
+    TokenReply issueToken(const TokenQuery& query)
+    {
+        TokenReply reply;
+        reply.requestId = query.requestId;
+        reply.executor = m_table.incarnation();
+        Id128 operation = randomId();
+        if (!m_table.issueToken(operation, query.service, currentInstant()))
+            return reply;
+        reply.operation = operation;
+        reply.lifetimeMs = static_cast<uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.tokenLifetime).count());
+        return reply;
+    }
+
+    void tick()
+    {
+        m_table.tick(currentInstant());
+        if (m_claims)
+            m_claims->tick();
+    }
+
+    std::vector<UnresolvedOperation> unresolved() const { return m_table.unresolved(currentInstant()); }
+    void resolve(const Id128& operation) { m_table.resolve(operation); }
+
+private:
+    using Decide = std::function<void(GateDecision)>;
+
+    // The claim must be settled well before the caller's deadline, so that the request still has time to run.
+    static constexpr Duration maxClaimWait = 5s;
+
+    void begin(const RequestHead& head, std::string_view body, Decide decide)
+    {
+        const Service* service = m_routes ? m_routes->service(head.service) : nullptr;
+        OperationRequest request;
+        request.kind = head.operationKind;
+        request.operation = head.operation;
+        request.executor = head.executor;
+        request.service = head.service;
+        request.route = head.route;
+        request.fingerprint = fingerprintOf(head, body);
+        request.inquiry = head.inquiry;
+        if (service)
+            request.retention = service->retention;
+        Instant now = currentInstant();
+        WaiterId waiter = ++m_lastWaiter;
+        OperationDecision decision = m_table.begin(request, waiter, now, currentWallTime());
+        m_waiting[waiter] = { head.requestId, std::move(decide) };
+        if (decision.step == OperationStep::Claim)
+            claim(head, now);
+        else if (decision.step != OperationStep::Wait)
+            answer(waiter, decision);
+    }
+
+    void claim(const RequestHead& head, Instant now)
+    {
+        Claim claim = m_table.claimFor(head.operation);
+        if (!m_claims) {
+            deliver(m_table.claimSettled({ head.operation, ClaimVerdict::Unavailable, claim }, now));
+            return;
+        }
+        Duration wait = std::min(maxClaimWait, Duration(std::chrono::milliseconds(head.deadlineMs)) / 2);
+        m_claims->claim(head.service, claim, now + wait);
+    }
+
+    void settle(const RequestHead& head, const std::shared_ptr<const StoredResponse>& response, bool delivered)
+    {
+        if (!m_table.dispatched(head.operation))
+            return;
+        Instant now = currentInstant();
+        if (response)
+            deliver(m_table.finished(
+                head.operation, { response->head.status, response->head.headers, response->body }, delivered, now));
+        else
+            deliver(m_table.finishedUnrecorded(head.operation, delivered, now));
+        mark(head, ClaimState::Ran, response ? response->head.status : 0);
+    }
+
+    void finish(const RequestHead& head, const Refusal& refusal)
+    {
+        bool mayHaveRun = refusal.outcome != Outcome::NotRun;
+        if (mayHaveRun && !m_table.dispatched(head.operation))
+            return;
+        deliver(m_table.failed(head.operation, refusal.reason, currentInstant()));
+        if (mayHaveRun)
+            mark(head, ClaimState::Unknown, 0);
+    }
+
+    void mark(const RequestHead& head, ClaimState state, uint16_t status)
+    {
+        if (m_claims && head.operationKind == OperationKind::Key)
+            m_claims->mark(head.service, head.operation, state, status);
+    }
+
+    void deliver(const std::vector<OperationCompletion>& completions)
+    {
+        for (const OperationCompletion& completion : completions)
+            answer(completion.waiter, completion.decision);
+    }
+
+    void answer(WaiterId waiter, const OperationDecision& decision)
+    {
+        auto it = m_waiting.find(waiter);
+        if (it == m_waiting.end())
+            return;
+        Waiting waiting = std::move(it->second);
+        m_waiting.erase(it);
+        waiting.decide(convert(waiting.requestId, decision));
+    }
+
+    GateDecision convert(const Id128& requestId, const OperationDecision& decision) const
+    {
+        GateDecision result;
+        if (decision.step == OperationStep::Run)
+            return result;
+        if (decision.step == OperationStep::Answer) {
+            auto response = std::make_shared<StoredResponse>();
+            response->head.requestId = requestId;
+            response->head.status = decision.answer->status;
+            response->head.headers = decision.answer->headers;
+            response->body = decision.answer->body;
+            result.kind = GateDecision::Kind::Respond;
+            result.response = std::move(response);
+            return result;
+        }
+        result.kind = GateDecision::Kind::Refuse;
+        result.refusal.requestId = requestId;
+        result.refusal.outcome = decision.outcome;
+        result.refusal.reason = decision.reason;
+        result.refusal.holder = decision.holder;
+        result.refusal.step = "executor.operation";
+        if (decision.reason == RefusalReason::StoreUnavailable)
+            result.refusal.retryAfterMs = storeRetryMs;
+        return result;
+    }
+
+    static constexpr uint32_t storeRetryMs = 5000;
+
+    struct Waiting {
+        Id128 requestId;
+        Decide decide;
+    };
+
+    OperationTable m_table;
+    OperationLimits m_limits;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::unordered_map<WaiterId, Waiting> m_waiting;
+    WaiterId m_lastWaiter = 0;
+    std::optional<ClaimWriter<Store>> m_claims; // last: its callbacks use the members above
+};
+
+} // namespace Gooseberrymill
