--- /dev/null
+++ b/src/node/AttemptPlan.h
@@ -0,0 +1,72 @@
+// Decides whether a request may be sent to another upstream. No I/O.
+#pragma once
+
+#include "core/Basics.h"
+
+namespace Gooseberrymill {
+
+class AttemptPlan {
+public:
+    // `allowRetry` takes one retry from the budget; empty: no budget.
+    AttemptPlan(bool repeatable, uint32_t maxAttempts, std::function<bool()> allowRetry)
+        : m_repeatable(repeatable)
+        , m_maxAttempts(maxAttempts)
+        , m_allowRetry(std::move(allowRetry))
+    {
+    }
+
+    void started(const std::string& upstream)
+    {
+        ++m_attempts;
+        m_tried.push_back(upstream);
+    }
+
+    // An attempt ended without a response.
+    // `bodyKept`: everything of the body that was sent can be sent again.
+    bool mayRetry(Outcome outcome, RefusalReason reason, bool bodyKept) const
+    {
+        bool harmless = outcome == Outcome::NotRun && isElsewhereUseful(reason);
+        bool repeat = outcome == Outcome::Unknown && m_repeatable && isUpstreamFault(reason);
+        return (harmless || repeat) && bodyKept && m_attempts < m_maxAttempts && (!m_allowRetry || m_allowRetry());
+    }
+
+    std::span<const std::string> tried() const { return m_tried; }
+    uint32_t attempts() const { return m_attempts; }
+
+private:
+    static bool isElsewhereUseful(RefusalReason reason)
+    {
+        switch (reason) {
+        case RefusalReason::Draining:
+        case RefusalReason::QueueFull:
+        case RefusalReason::NoUpstream:
+        case RefusalReason::Ejected:
+        case RefusalReason::UpstreamUnreachable:
+        case RefusalReason::RelayFailed:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+    static bool isUpstreamFault(RefusalReason reason)
+    {
+        switch (reason) {
+        case RefusalReason::UpstreamCrashed:
+        case RefusalReason::UpstreamTruncated:
+        case RefusalReason::UpstreamInvalid:
+        case RefusalReason::RelayFailed:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+    bool m_repeatable;
+    uint32_t m_maxAttempts;
+    std::function<bool()> m_allowRetry;
+    uint32_t m_attempts = 0;
+    std::vector<std::string> m_tried;
+};
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/BodyStream.cpp
@@ -0,0 +1,185 @@
+#include "BodyStream.h"
+
+#include <algorithm>
+#include <cstring>
+#include <deque>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr size_t lowMark = 32 << 10;
+
+// State behind the GObject; allocated by hand because GObject zeroes memory and runs no constructors.
+struct BodyState {
+    std::deque<std::string> chunks;
+    size_t offset = 0; // into the first chunk
+    size_t buffered = 0;
+    bool ended = false;
+    bool aborted = false;
+    GTask* pending = nullptr; // the read that waits for data
+    void* target = nullptr;
+    size_t wanted = 0;
+    std::function<void()> drained;
+
+    bool isReadable() const { return buffered || ended || aborted; }
+
+    size_t take(void* buffer, size_t size)
+    {
+        size_t taken = 0;
+        while (taken < size && !chunks.empty()) {
+            const std::string& chunk = chunks.front();
+            size_t n = std::min(size - taken, chunk.size() - offset);
+            std::memcpy(static_cast<char*>(buffer) + taken, chunk.data() + offset, n);
+            taken += n;
+            offset += n;
+            if (offset == chunk.size()) {
+                chunks.pop_front();
+                offset = 0;
+            }
+        }
+        buffered -= taken;
+        return taken;
+    }
+
+    void complete(GTask* task, void* buffer, size_t size)
+    {
+        size_t before = buffered;
+        if (aborted)
+            g_task_return_new_error(task, G_IO_ERROR, G_IO_ERROR_CANCELLED, "request body aborted");
+        else
+            g_task_return_int(task, static_cast<gssize>(take(buffer, size)));
+        g_object_unref(task);
+        if (before > lowMark && buffered <= lowMark && drained) {
+            auto function = drained;
+            function();
+        }
+    }
+
+    void wake()
+    {
+        if (pending && isReadable())
+            complete(std::exchange(pending, nullptr), target, wanted);
+    }
+};
+
+struct StreamObject {
+    GInputStream parent;
+    BodyState* state;
+};
+
+struct StreamClass {
+    GInputStreamClass parent;
+};
+
+BodyState& stateOf(gpointer object) { return *static_cast<StreamObject*>(object)->state; }
+
+void readAsync(GInputStream* stream, void* buffer, gsize size, int /*priority*/, GCancellable* cancellable,
+    GAsyncReadyCallback callback, gpointer data)
+{
+    BodyState& state = stateOf(stream);
+    GTask* task = g_task_new(stream, cancellable, callback, data);
+    if (state.isReadable()) {
+        state.complete(task, buffer, size);
+        return;
+    }
+    state.pending = task;
+    state.target = buffer;
+    state.wanted = size;
+}
+
+gssize readFinish(GInputStream* /*stream*/, GAsyncResult* result, GError** error)
+{
+    return g_task_propagate_int(G_TASK(result), error);
+}
+
+// Never used by the asynchronous transfer; a blocking read could wait for its own thread.
+gssize readNow(
+    GInputStream* /*stream*/, void* /*buffer*/, gsize /*size*/, GCancellable* /*cancellable*/, GError** error)
+{
+    g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_NOT_SUPPORTED, "asynchronous only");
+    return -1;
+}
+
+void closeAsync(
+    GInputStream* stream, int /*priority*/, GCancellable* cancellable, GAsyncReadyCallback callback, gpointer data)
+{
+    GTask* task = g_task_new(stream, cancellable, callback, data);
+    g_task_return_boolean(task, TRUE);
+    g_object_unref(task);
+}
+
+gboolean closeFinish(GInputStream* /*stream*/, GAsyncResult* result, GError** error)
+{
+    return g_task_propagate_boolean(G_TASK(result), error);
+}
+
+gpointer parentClass = nullptr;
+
+void finalize(GObject* object)
+{
+    delete static_cast<StreamObject*>(static_cast<gpointer>(object))->state;
+    G_OBJECT_CLASS(parentClass)->finalize(object);
+}
+
+void initClass(gpointer klass, gpointer /*data*/)
+{
+    parentClass = g_type_class_peek_parent(klass);
+    G_OBJECT_CLASS(klass)->finalize = finalize;
+    auto* input = static_cast<GInputStreamClass*>(klass);
+    input->read_fn = readNow;
+    input->read_async = readAsync;
+    input->read_finish = readFinish;
+    input->close_async = closeAsync;
+    input->close_finish = closeFinish;
+}
+
+void initObject(GTypeInstance* instance, gpointer /*klass*/)
+{
+    static_cast<StreamObject*>(static_cast<gpointer>(instance))->state = new BodyState;
+}
+
+GType streamType()
+{
+    static const GType type = g_type_register_static_simple(G_TYPE_INPUT_STREAM, "GooseberrymillBodyStream",
+        sizeof(StreamClass), initClass, sizeof(StreamObject), initObject, static_cast<GTypeFlags>(0));
+    return type;
+}
+
+} // namespace
+
+BodyStream::BodyStream()
+    : m_stream(static_cast<GInputStream*>(g_object_new(streamType(), nullptr)))
+{
+}
+
+void BodyStream::push(std::string bytes)
+{
+    BodyState& state = stateOf(m_stream.get());
+    if (bytes.empty() || state.aborted)
+        return;
+    state.buffered += bytes.size();
+    state.chunks.push_back(std::move(bytes));
+    state.wake();
+}
+
+void BodyStream::finish()
+{
+    BodyState& state = stateOf(m_stream.get());
+    state.ended = true;
+    state.wake();
+}
+
+void BodyStream::abort()
+{
+    BodyState& state = stateOf(m_stream.get());
+    state.aborted = true;
+    state.drained = nullptr;
+    state.wake();
+}
+
+size_t BodyStream::bufferedBytes() const { return stateOf(m_stream.get()).buffered; }
+
+void BodyStream::setDrained(std::function<void()> function) { stateOf(m_stream.get()).drained = std::move(function); }
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/EntryExchange.cpp
@@ -0,0 +1,675 @@
+#include "EntryExchange.h"
+
+#include "FleetAuth.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr size_t backlogBytes = 64 << 10; // of a request body, before the caller is paused
+constexpr size_t keptBodyBytes = 64 << 10; // of a request body, for another attempt
+constexpr size_t heldResponseBytes = 64 << 10; // a response up to this size is written only when complete
+constexpr size_t writeHighMark = 256 << 10;
+constexpr size_t writeLowMark = 64 << 10;
+constexpr uint64_t maxDiscardedBytes = 1 << 20; // of a body that nobody wants, before the caller is cut off
+constexpr std::string_view tokenPath = "/.gooseberrymill/token";
+
+guint statusOf(const Refusal& refusal)
+{
+    switch (refusal.reason) {
+    case RefusalReason::BadRequest:
+        return SOUP_STATUS_BAD_REQUEST;
+    case RefusalReason::NoRoute:
+        return SOUP_STATUS_NOT_FOUND;
+    case RefusalReason::BodyTooLarge:
+        return SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
+    case RefusalReason::KeyReused:
+        return SOUP_STATUS_UNPROCESSABLE_ENTITY;
+    case RefusalReason::DeadlineExceeded:
+        return refusal.outcome == Outcome::NotRun ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_GATEWAY_TIMEOUT;
+    default:
+        return refusal.outcome == Outcome::NotRun ? SOUP_STATUS_SERVICE_UNAVAILABLE : SOUP_STATUS_BAD_GATEWAY;
+    }
+}
+
+// Path and query as the caller sent them.
+std::string targetOf(GUri* uri)
+{
+    std::string target = g_uri_get_path(uri);
+    if (target.empty())
+        target = "/";
+    if (const char* query = g_uri_get_query(uri))
+        target += std::string("?") + query;
+    return target;
+}
+
+std::string queryValue(GUri* uri, const char* name)
+{
+    const char* query = g_uri_get_query(uri);
+    if (!query)
+        return "";
+    GHashTable* form = soup_form_decode(query);
+    const char* value = static_cast<const char*>(g_hash_table_lookup(form, name));
+    std::string result = value ? value : "";
+    g_hash_table_unref(form);
+    return result;
+}
+
+std::string remoteHost(SoupServerMessage* message)
+{
+    GSocketAddress* address = soup_server_message_get_remote_address(message);
+    if (!address || !G_IS_INET_SOCKET_ADDRESS(address))
+        return "";
+    char* text = g_inet_address_to_string(g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address)));
+    std::string result = text;
+    g_free(text);
+    return result;
+}
+
+uint32_t millisLeft(Instant deadline)
+{
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - currentInstant()).count();
+    return static_cast<uint32_t>(std::clamp<int64_t>(left, 0, UINT32_MAX));
+}
+
+} // namespace
+
+EntryExchange::EntryExchange(EntryWorker& worker, SoupServerMessage* message)
+    : m_worker(worker)
+    , m_message(shareObject(message))
+    , m_routes(worker.m_routes)
+    , m_requestId(randomId())
+{
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    soup_message_body_set_accumulate(soup_server_message_get_response_body(message), FALSE);
+    g_signal_connect(message, "got-chunk", G_CALLBACK(onGotChunk), this);
+    g_signal_connect(message, "got-body", G_CALLBACK(onGotBody), this);
+    g_signal_connect(message, "wrote-body-data", G_CALLBACK(onWrote), this);
+    g_signal_connect(message, "finished", G_CALLBACK(onFinished), this);
+}
+
+EntryExchange::~EntryExchange() { detach(); }
+
+void EntryExchange::detach()
+{
+    m_finished = true;
+    if (m_call)
+        m_call->cancel();
+    m_call.reset();
+    if (m_message)
+        g_signal_handlers_disconnect_by_data(m_message.get(), this);
+    m_message.reset();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] From the caller
+//-----------------------------------------------------------------------------
+
+void EntryExchange::onGotChunk(SoupServerMessage* /*message*/, GBytes* bytes, gpointer data)
+{
+    auto self = static_cast<EntryExchange*>(data)->shared_from_this();
+    self->takeChunk(bytes);
+}
+
+void EntryExchange::takeChunk(GBytes* bytes)
+{
+    gsize size = 0;
+    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    m_received += size;
+    if (m_answered || m_complete) {
+        if (m_received > maxDiscardedBytes)
+            abortCaller();
+        return;
+    }
+    if (m_received > m_match.route->maxBodyBytes) {
+        refuseLocally(RefusalReason::BodyTooLarge, "entry.body");
+        return;
+    }
+    m_backlog.append(data, size);
+    pumpBody();
+    updatePause();
+}
+
+void EntryExchange::onGotBody(SoupServerMessage* /*message*/, gpointer data)
+{
+    auto self = static_cast<EntryExchange*>(data)->shared_from_this();
+    self->m_bodyEnded = true;
+    if (self->m_answered)
+        return;
+    self->pumpBody();
+    self->updatePause();
+}
+
+void EntryExchange::onWrote(SoupServerMessage* /*message*/, guint size, gpointer data)
+{
+    auto self = static_cast<EntryExchange*>(data)->shared_from_this();
+    self->m_unwritten -= std::min<size_t>(self->m_unwritten, size);
+    if (self->m_unwritten < writeLowMark && self->m_call)
+        self->m_call->resume();
+}
+
+void EntryExchange::onFinished(SoupServerMessage* /*message*/, gpointer data)
+{
+    auto self = static_cast<EntryExchange*>(data)->shared_from_this();
+    self->callerGone();
+}
+
+void EntryExchange::callerGone()
+{
+    if (m_finished)
+        return;
+    dropCall();
+    end();
+}
+
+bool EntryExchange::isCallerClosed() const
+{
+    GSocket* socket = soup_server_message_get_socket(m_message.get());
+    if (!socket)
+        return true;
+    char byte = 0;
+    ssize_t n = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void EntryExchange::sweep(Instant now)
+{
+    if (m_finished || m_answered || m_complete)
+        return;
+    // While the message is paused the HTTP library does not look at the socket.
+    if (m_paused && isCallerClosed()) {
+        abortCaller();
+        return;
+    }
+    if (now < m_deadline || m_headWritten)
+        return;
+    refuseLocally(RefusalReason::DeadlineExceeded, "entry.deadline");
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Preparation
+//-----------------------------------------------------------------------------
+
+void EntryExchange::start()
+{
+    GUri* uri = soup_server_message_get_uri(m_message.get());
+    if (g_uri_get_path(uri) == tokenPath) {
+        serveToken(queryValue(uri, "service"));
+        return;
+    }
+    if (!findRoute() || !checkLimits())
+        return;
+    buildHead();
+    if (!readOperation())
+        return;
+    if (m_worker.m_hooks.offered)
+        m_worker.m_hooks.offered(m_match.service->name);
+    auto allow = m_worker.m_hooks.allowRetry;
+    m_plan.emplace(m_match.route->repeatable, m_match.service->retry.maxAttempts,
+        allow ? [allow, name = m_match.service->name] { return allow(name); } : std::function<bool()>());
+    attempt();
+}
+
+bool EntryExchange::findRoute()
+{
+    if (!m_routes || m_routes->documents().empty()) {
+        refuseLocally(RefusalReason::NoConfiguration, "entry.route", {}, 1s);
+        return false;
+    }
+    auto match = m_routes->match(
+        soup_server_message_get_method(m_message.get()), targetOf(soup_server_message_get_uri(m_message.get())));
+    const char* service = soup_message_headers_get_one(
+        soup_server_message_get_request_headers(m_message.get()), HeaderName::callerService);
+    bool hidden = match && match->route->internal && !(service && m_routes->service(service));
+    if (!match || hidden) {
+        refuseLocally(RefusalReason::NoRoute, "entry.route");
+        return false;
+    }
+    m_match = *match;
+    return true;
+}
+
+bool EntryExchange::checkLimits()
+{
+    auto* headers = soup_server_message_get_request_headers(m_message.get());
+    if (headerBytes(headers) > m_worker.m_settings.maxHeaderBytes) {
+        refuseLocally(RefusalReason::BadRequest, "entry.headers", "headers too large");
+        return false;
+    }
+    bool sized = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
+    if (sized
+        && static_cast<uint64_t>(soup_message_headers_get_content_length(headers)) > m_match.route->maxBodyBytes) {
+        refuseLocally(RefusalReason::BodyTooLarge, "entry.body");
+        return false;
+    }
+    return true;
+}
+
+void EntryExchange::buildHead()
+{
+    auto* headers = soup_server_message_get_request_headers(m_message.get());
+    m_head.requestId = m_requestId;
+    m_head.service = m_match.service->name;
+    m_head.route = m_match.route->name;
+    m_head.method = soup_server_message_get_method(m_message.get());
+    m_head.target = targetOf(soup_server_message_get_uri(m_message.get()));
+    m_head.headers = endToEndHeaders(headers);
+    SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+    if (encoding == SOUP_ENCODING_CHUNKED)
+        m_head.bodyLength = -1;
+    else if (encoding == SOUP_ENCODING_CONTENT_LENGTH)
+        m_head.bodyLength = soup_message_headers_get_content_length(headers);
+    if (m_worker.m_hooks.configurationDigest)
+        m_head.configurationDigest = m_worker.m_hooks.configurationDigest();
+
+    auto patience = m_match.route->deadline;
+    if (const Header* wish = findHeader(m_head.headers, HeaderName::deadline)) {
+        guint64 millis = g_ascii_strtoull(wish->value.c_str(), nullptr, 10);
+        if (millis)
+            patience = std::min<Duration>(patience, std::chrono::milliseconds(std::min<guint64>(millis, UINT32_MAX)));
+    }
+    m_deadline = currentInstant() + patience;
+    removeHeaders(m_head.headers, HeaderName::deadline);
+    removeHeaders(m_head.headers, HeaderName::requestId);
+    m_head.headers.push_back({ HeaderName::requestId, toString(m_requestId) });
+    const Header* forwarded = findHeader(m_head.headers, HeaderName::forwardedFor);
+    std::string chain = forwarded ? forwarded->value + ", " : "";
+    removeHeaders(m_head.headers, HeaderName::forwardedFor);
+    m_head.headers.push_back({ HeaderName::forwardedFor, chain + remoteHost(m_message.get()) });
+}
+
+bool EntryExchange::readOperation()
+{
+    const Header* key = findHeader(m_head.headers, HeaderName::idempotencyKey);
+    const Header* token = findHeader(m_head.headers, HeaderName::operationToken);
+    if (m_match.route->repeatable || (!key && !token))
+        return true;
+    if (key && token) {
+        refuseLocally(RefusalReason::BadRequest, "entry.operation", "both a key and a token");
+        return false;
+    }
+    if (key) {
+        auto id = parseId128(key->value);
+        if (!id || !uuidTime(*id)) {
+            refuseLocally(RefusalReason::BadRequest, "entry.operation", "the key is not a UUID of version 7");
+            return false;
+        }
+        m_head.operationKind = OperationKind::Key;
+        m_head.operation = *id;
+        return true;
+    }
+    std::string_view text = token->value;
+    size_t dot = text.find('.');
+    auto executor = parseId128(text.substr(0, dot));
+    auto operation = dot == std::string_view::npos ? std::nullopt : parseId128(text.substr(dot + 1));
+    if (!executor || !operation) {
+        refuseLocally(RefusalReason::BadRequest, "entry.operation", "malformed operation token");
+        return false;
+    }
+    m_head.operationKind = OperationKind::Token;
+    m_head.executor = *executor;
+    m_head.operation = *operation;
+    return true;
+}
+
+void EntryExchange::serveToken(std::string_view service)
+{
+    static const Route tokenRoute;
+    m_match.route = &tokenRoute;
+    std::string_view method = soup_server_message_get_method(m_message.get());
+    if (method != "POST" || service.empty()) {
+        refuseLocally(RefusalReason::BadRequest, "entry.token", "POST with a service is needed");
+        return;
+    }
+    m_deadline = currentInstant() + tokenRoute.deadline;
+    const Candidate* candidate = m_worker.m_balancer->choose(
+        { .service = service, .workClass = WorkClass::Critical, .repeatable = true, .affinity = {}, .exclude = {} },
+        currentInstant());
+    if (!candidate) {
+        refuseLocally(RefusalReason::NoUpstream, "entry.token", {}, 1s);
+        return;
+    }
+    m_answered = true; // the request body is discarded
+    m_worker.m_client.query(candidate->relayAddress, TokenQuery { m_requestId, std::string(service) },
+        [weak = weak_from_this()](Result<RelayMessage> result) {
+            auto self = weak.lock();
+            if (!self || self->m_finished)
+                return;
+            auto* reply = result ? std::get_if<TokenReply>(&result.value()) : nullptr;
+            self->m_answered = false;
+            if (!reply || reply->requestId != self->m_requestId) {
+                self->refuseLocally(RefusalReason::RelayFailed, "entry.token", {}, 1s);
+                return;
+            }
+            nlohmann::ordered_json body { { "token", toString(reply->executor) + "." + toString(reply->operation) },
+                { "lifetimeMs", reply->lifetimeMs } };
+            self->addCommonHeaders(Outcome::Ran);
+            self->respondJson(SOUP_STATUS_OK, body.dump());
+        });
+    updatePause();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Attempts
+//-----------------------------------------------------------------------------
+
+void EntryExchange::attempt()
+{
+    Instant now = currentInstant();
+    const Candidate* candidate = nullptr;
+    if (m_head.executor) {
+        candidate = m_worker.findExecutor(m_head.service, m_head.executor);
+        if (!candidate) {
+            // Only that incarnation knows whether the operation ran.
+            Refusal refusal;
+            refusal.outcome = Outcome::Unknown;
+            refusal.reason = RefusalReason::HolderGone;
+            refusal.step = "entry.executor";
+            respondRefusal(refusal);
+            return;
+        }
+    } else {
+        BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
+            m_plan->tried() };
+        if (m_head.operationKind == OperationKind::Key)
+            request.affinity = m_head.operation;
+        candidate = m_worker.m_balancer->choose(request, now);
+    }
+    if (candidate)
+        sendTo(*candidate);
+    else
+        refuseLocally(RefusalReason::NoUpstream, "entry.balance", {}, 1s);
+}
+
+void EntryExchange::sendTo(const Candidate& candidate)
+{
+    m_upstream = candidate.upstream;
+    m_node = candidate.node;
+    m_plan->started(m_upstream);
+    m_worker.m_balancer->started(m_upstream, currentInstant());
+    m_head.upstream = m_upstream;
+    m_head.deadlineMs = millisLeft(m_deadline);
+    m_bodyDone = !m_head.bodyLength;
+    std::weak_ptr<EntryExchange> weak = weak_from_this();
+    auto bind = [weak](auto method) {
+        return [weak, method](auto&&... arguments) {
+            if (auto self = weak.lock(); self && !self->m_finished)
+                ((*self).*method)(std::forward<decltype(arguments)>(arguments)...);
+        };
+    };
+    RelayCall::Handlers handlers { bind(&EntryExchange::onHead), bind(&EntryExchange::onChunk),
+        bind(&EntryExchange::onEnd), bind(&EntryExchange::onRefusal), bind(&EntryExchange::onCallFailed), [weak] {
+            if (auto self = weak.lock(); self && !self->m_finished) {
+                self->pumpBody();
+                self->updatePause();
+            }
+        } };
+    m_call = m_worker.m_client.call(candidate.relayAddress, m_head, std::move(handlers));
+    pumpBody();
+}
+
+void EntryExchange::pumpBody()
+{
+    if (!m_call || m_bodyDone)
+        return;
+    while (!m_backlog.empty() && m_call->isWritable()) {
+        std::string bytes = m_backlog.substr(0, maxChunkBytes);
+        m_backlog.erase(0, bytes.size());
+        m_keepsBody = m_keepsBody && m_kept.size() + bytes.size() <= keptBodyBytes;
+        if (m_keepsBody)
+            m_kept += bytes;
+        else
+            m_kept.clear();
+        m_call->sendChunk(std::move(bytes));
+    }
+    if (m_backlog.empty() && m_bodyEnded && m_call->isWritable()) {
+        m_bodyDone = true;
+        m_call->endBody();
+    }
+}
+
+void EntryExchange::onHead(ResponseHead&& head)
+{
+    Instant now = currentInstant();
+    m_gotHead = true;
+    m_worker.m_balancer->pathResult(m_node, true, now);
+    m_worker.m_balancer->finished(m_upstream, head.load, now);
+    m_response = std::move(head);
+}
+
+void EntryExchange::onChunk(std::string&& bytes)
+{
+    if (m_headWritten) {
+        appendBody(std::move(bytes));
+        return;
+    }
+    m_held += bytes;
+    if (m_held.size() <= heldResponseBytes)
+        return;
+    writeHead(m_response.bodyLength);
+    appendBody(std::exchange(m_held, {}));
+}
+
+void EntryExchange::onEnd()
+{
+    m_call.reset();
+    m_complete = true;
+    if (!m_headWritten) {
+        writeHead(m_head.method == "HEAD" ? m_response.bodyLength : static_cast<int64_t>(m_held.size()));
+        if (!m_held.empty())
+            appendBody(std::exchange(m_held, {}));
+    }
+    soup_message_body_complete(soup_server_message_get_response_body(m_message.get()));
+    updatePause();
+}
+
+void EntryExchange::onRefusal(Refusal&& refusal)
+{
+    Instant now = currentInstant();
+    m_worker.m_balancer->pathResult(m_node, true, now);
+    m_worker.m_balancer->finished(m_upstream, refusal.load, now);
+    m_call.reset();
+    if (refusal.reason == RefusalReason::HeldElsewhere && followHolder(refusal))
+        return;
+    settleAttempt(std::move(refusal));
+}
+
+void EntryExchange::onCallFailed(const Error& error, Outcome outcome)
+{
+    Instant now = currentInstant();
+    m_call.reset();
+    if (!m_gotHead)
+        m_worker.m_balancer->abandoned(m_upstream, now);
+    m_worker.m_balancer->pathResult(m_node, false, now);
+    if (m_headWritten) {
+        abortCaller();
+        return;
+    }
+    m_gotHead = false;
+    m_held.clear();
+    Refusal refusal;
+    refusal.outcome = outcome == Outcome::NotRun ? outcome : outcomeAfterHead();
+    refusal.reason = RefusalReason::RelayFailed;
+    refusal.step = error.step;
+    refusal.peer = error.peer;
+    settleAttempt(std::move(refusal));
+}
+
+// An executor streams the body of a repeatable request, and dispatches any other request only with its whole body.
+Outcome EntryExchange::outcomeAfterHead() const
+{
+    return m_match.route->repeatable || m_bodyDone ? Outcome::Unknown : Outcome::NotRun;
+}
+
+void EntryExchange::dropCall()
+{
+    if (!m_call)
+        return;
+    m_call->cancel();
+    m_call.reset();
+    if (!m_gotHead)
+        m_worker.m_balancer->abandoned(m_upstream, currentInstant());
+}
+
+void EntryExchange::settleAttempt(Refusal&& refusal)
+{
+    bool bound = m_head.inquiry || m_head.operationKind == OperationKind::Token;
+    if (bound || !m_plan->mayRetry(refusal.outcome, refusal.reason, m_keepsBody)) {
+        respondRefusal(refusal);
+        return;
+    }
+    m_backlog.insert(0, std::exchange(m_kept, {}));
+    BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
+        m_plan->tried() };
+    // The refusal of the last attempt says more than the lack of another upstream.
+    if (const Candidate* next = m_worker.m_balancer->choose(request, currentInstant()))
+        sendTo(*next);
+    else
+        respondRefusal(refusal);
+    updatePause();
+}
+
+bool EntryExchange::followHolder(const Refusal& refusal)
+{
+    const Candidate* holder = m_worker.findExecutor(m_head.service, refusal.holder);
+    if (std::exchange(m_followed, true) || !holder || !m_keepsBody) {
+        Refusal unknown = refusal;
+        unknown.outcome = Outcome::Unknown;
+        unknown.reason = RefusalReason::HolderGone;
+        respondRefusal(unknown);
+        return true;
+    }
+    m_head.inquiry = true;
+    m_head.executor = refusal.holder;
+    m_backlog.insert(0, std::exchange(m_kept, {}));
+    sendTo(*holder);
+    updatePause();
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Response
+//-----------------------------------------------------------------------------
+
+void EntryExchange::addCommonHeaders(Outcome outcome)
+{
+    auto* headers = soup_server_message_get_response_headers(m_message.get());
+    soup_message_headers_replace(headers, HeaderName::outcome, std::string(toString(outcome)).c_str());
+    soup_message_headers_replace(headers, HeaderName::requestId, toString(m_requestId).c_str());
+    if (m_worker.m_draining)
+        soup_message_headers_replace(headers, "Connection", "close");
+}
+
+void EntryExchange::writeHead(int64_t length)
+{
+    m_headWritten = true;
+    soup_server_message_set_status(m_message.get(), m_response.status, nullptr);
+    auto* headers = soup_server_message_get_response_headers(m_message.get());
+    for (const Header& header : m_response.headers)
+        soup_message_headers_append(headers, header.name.c_str(), header.value.c_str());
+    if (length >= 0)
+        soup_message_headers_set_content_length(headers, length);
+    else if (soup_server_message_get_http_version(m_message.get()) == SOUP_HTTP_1_0)
+        soup_message_headers_set_encoding(headers, SOUP_ENCODING_EOF);
+    else
+        soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+    addCommonHeaders(Outcome::Ran);
+    updatePause();
+}
+
+void EntryExchange::appendBody(std::string&& bytes)
+{
+    auto* text = new std::string(std::move(bytes));
+    BytesHandle chunk(g_bytes_new_with_free_func(
+        text->data(), text->size(), [](gpointer data) { delete static_cast<std::string*>(data); }, text));
+    m_unwritten += text->size();
+    soup_message_body_append_bytes(soup_server_message_get_response_body(m_message.get()), chunk.get());
+    if (m_unwritten > writeHighMark && m_call)
+        m_call->pause();
+    if (m_bodyEnded)
+        soup_server_message_unpause(m_message.get());
+}
+
+void EntryExchange::refuseLocally(RefusalReason reason, const char* step, std::string detail, Duration retryAfter)
+{
+    Refusal refusal;
+    refusal.outcome = m_call && m_call->isHeadWritten() ? outcomeAfterHead() : Outcome::NotRun;
+    dropCall();
+    refusal.reason = reason;
+    refusal.step = step;
+    refusal.peer = std::move(detail);
+    refusal.retryAfterMs
+        = static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count());
+    respondRefusal(refusal);
+}
+
+void EntryExchange::respondRefusal(const Refusal& refusal)
+{
+    constexpr uint32_t millisPerSecond = 1000;
+    nlohmann::ordered_json body { { "outcome", toString(refusal.outcome) }, { "reason", toString(refusal.reason) },
+        { "step", refusal.step }, { "peer", refusal.peer }, { "runs", refusal.runs },
+        { "requestId", toString(m_requestId) } };
+    auto* headers = soup_server_message_get_response_headers(m_message.get());
+    if (refusal.retryAfterMs) {
+        uint32_t seconds = (refusal.retryAfterMs + millisPerSecond - 1) / millisPerSecond;
+        soup_message_headers_replace(headers, HeaderName::retryAfter, std::to_string(seconds).c_str());
+    }
+    addCommonHeaders(refusal.outcome);
+    respondJson(statusOf(refusal), body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void EntryExchange::respondJson(guint status, const std::string& body)
+{
+    m_answered = true;
+    m_headWritten = true;
+    m_backlog.clear();
+    soup_server_message_set_status(m_message.get(), status, nullptr);
+    soup_server_message_set_response(m_message.get(), "application/json", SOUP_MEMORY_COPY, body.data(), body.size());
+    soup_message_headers_set_content_length(
+        soup_server_message_get_response_headers(m_message.get()), static_cast<goffset>(body.size()));
+    updatePause();
+}
+
+// The reset keeps the caller from taking a cut response for a whole one.
+void EntryExchange::abortCaller()
+{
+    auto self = shared_from_this();
+    if (m_finished)
+        return;
+    dropCall();
+    auto message = std::move(m_message);
+    g_signal_handlers_disconnect_by_data(message.get(), this);
+    end();
+    ObjectHandle<GIOStream> stream(soup_server_message_steal_connection(message.get()));
+    if (stream && G_IS_SOCKET_CONNECTION(stream.get()))
+        closeWithReset(g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream.get())));
+}
+
+// The message rests while the request body is behind, and until the response head is there.
+void EntryExchange::updatePause()
+{
+    if (m_finished || !m_message)
+        return;
+    bool wait = m_bodyEnded ? !m_headWritten : !m_headWritten && m_backlog.size() > backlogBytes;
+    if (wait == m_paused && !m_headWritten)
+        return;
+    m_paused = wait;
+    if (wait)
+        soup_server_message_pause(m_message.get());
+    else
+        soup_server_message_unpause(m_message.get());
+}
+
+void EntryExchange::end()
+{
+    auto self = shared_from_this();
+    m_finished = true;
+    m_call.reset();
+    m_worker.remove(self);
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/EntryExchange.h
@@ -0,0 +1,93 @@
+// One request of a caller at an entry worker.
+#pragma once
+
+#include "AttemptPlan.h"
+#include "EntryServer.h"
+
+namespace Gooseberrymill {
+
+class EntryExchange : public std::enable_shared_from_this<EntryExchange> {
+public:
+    EntryExchange(EntryWorker&, SoupServerMessage*);
+    ~EntryExchange();
+
+    void start(); // the request head was read
+    void refuseLocally(RefusalReason, const char* step, std::string detail = {}, Duration retryAfter = {});
+    void sweep(Instant now); // deadline, and a caller that closed
+    void detach(); // the worker ends
+
+private:
+    // From the caller.
+    static void onGotChunk(SoupServerMessage*, GBytes*, gpointer);
+    static void onGotBody(SoupServerMessage*, gpointer);
+    static void onWrote(SoupServerMessage*, guint size, gpointer);
+    static void onFinished(SoupServerMessage*, gpointer);
+    void takeChunk(GBytes*);
+    void callerGone();
+    bool isCallerClosed() const;
+
+    // Preparation.
+    bool findRoute();
+    bool readOperation();
+    bool checkLimits();
+    void buildHead();
+    void serveToken(std::string_view service);
+
+    // Attempts.
+    void attempt();
+    void sendTo(const Candidate&);
+    void pumpBody();
+    void onHead(ResponseHead&&);
+    void onChunk(std::string&&);
+    void onEnd();
+    void onRefusal(Refusal&&);
+    void onCallFailed(const Error&, Outcome);
+    void settleAttempt(Refusal&&);
+    bool followHolder(const Refusal&);
+    Outcome outcomeAfterHead() const; // when the attempt ends without a response
+    void dropCall();
+
+    // Response.
+    void writeHead(int64_t length);
+    void appendBody(std::string&&);
+    void respondRefusal(const Refusal&);
+    void respondJson(guint status, const std::string& body);
+    void addCommonHeaders(Outcome);
+    void abortCaller();
+    void updatePause();
+    void end();
+
+    EntryWorker& m_worker;
+    ObjectHandle<SoupServerMessage> m_message;
+    std::shared_ptr<const RouteTable> m_routes; // keeps m_match
+    RouteTable::Match m_match;
+    std::optional<AttemptPlan> m_plan;
+    RequestHead m_head;
+    Id128 m_requestId;
+    Instant m_deadline = Instant::max();
+    std::shared_ptr<RelayCall> m_call;
+    std::string m_upstream; // of the current attempt
+    std::string m_node;
+
+    // Request body.
+    std::string m_backlog; // not yet sent to the executor
+    std::string m_kept; // sent, kept for another attempt
+    uint64_t m_received = 0;
+    bool m_bodyEnded = false;
+    bool m_keepsBody = true;
+    bool m_bodyDone = false; // its end was sent in this attempt
+
+    // Response.
+    ResponseHead m_response;
+    std::string m_held;
+    size_t m_unwritten = 0;
+    bool m_gotHead = false;
+    bool m_headWritten = false;
+    bool m_complete = false;
+    bool m_answered = false; // a local response was written
+    bool m_followed = false;
+    bool m_paused = false;
+    bool m_finished = false;
+};
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/EntryServer.cpp
@@ -0,0 +1,174 @@
+#include "EntryServer.h"
+
+#include "EntryExchange.h"
+#include "Log.h"
+
+#include <algorithm>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr Duration sweepInterval = 25ms;
+
+} // namespace
+
+EntryWorker::EntryWorker(Task& task, const Settings& settings, RelayIdentity identity, EntryHooks hooks,
+    std::unique_ptr<BalancerPort> balancer)
+    : m_task(task)
+    , m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_balancer(std::move(balancer))
+    , m_client(task.context(), std::move(identity), settings.connectTimeout)
+    , m_maxConnections(std::max(1U, settings.maxCallerConnections / std::max(1U, settings.workers)))
+{
+}
+
+EntryWorker::~EntryWorker()
+{
+    m_sweepSource.reset();
+    for (const auto& exchange : m_exchanges)
+        exchange->detach();
+    m_exchanges.clear();
+    for (auto& [socket, connection] : m_connections)
+        g_object_weak_unref(G_OBJECT(socket), &EntryWorker::onSocketGone, connection.get());
+    m_connections.clear();
+    if (m_server) {
+        g_signal_handlers_disconnect_by_data(m_server.get(), this);
+        soup_server_remove_handler(m_server.get(), "/");
+        soup_server_disconnect(m_server.get());
+    }
+}
+
+Result<uint16_t> EntryWorker::listen(const std::string& host, uint16_t port)
+{
+    auto socket = listenSocket(host, port, true);
+    if (!socket)
+        return socket.error();
+    uint16_t taken = localPort(socket.value().get());
+    m_server.reset(soup_server_new(nullptr, nullptr));
+    g_signal_connect(m_server.get(), "request-started", G_CALLBACK(onRequestStarted), this);
+    soup_server_add_early_handler(m_server.get(), "/", onEarly, this, nullptr);
+    GError* error = nullptr;
+    if (!soup_server_listen_socket(
+            m_server.get(), socket.value().get(), static_cast<SoupServerListenOptions>(0), &error))
+        return errorFrom(error, "entry.listen", host);
+    m_sweepSource = m_task.every(sweepInterval, [this] {
+        sweep();
+        return true;
+    });
+    return taken;
+}
+
+void EntryWorker::setRoutes(std::shared_ptr<const RouteTable> routes) { m_routes = std::move(routes); }
+
+void EntryWorker::setCandidates(std::shared_ptr<const CandidateList> candidates)
+{
+    m_candidates = candidates;
+    m_balancer->setCandidates(std::move(candidates), currentInstant());
+}
+
+void EntryWorker::onRequestStarted(SoupServer* /*server*/, SoupServerMessage* message, gpointer data)
+{
+    static_cast<EntryWorker*>(data)->trackConnection(message);
+}
+
+void EntryWorker::onEarly(
+    SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/, GHashTable* /*query*/, gpointer data)
+{
+    static_cast<EntryWorker*>(data)->begin(message);
+}
+
+void EntryWorker::onSocketGone(gpointer data, GObject* /*socket*/)
+{
+    auto* connection = static_cast<CallerConnection*>(data);
+    connection->worker->m_connections.erase(connection->socket);
+}
+
+void EntryWorker::trackConnection(SoupServerMessage* message)
+{
+    GSocket* socket = soup_server_message_get_socket(message);
+    if (!socket)
+        return;
+    auto& connection = m_connections[socket];
+    if (!connection) {
+        connection = std::make_unique<CallerConnection>();
+        connection->worker = this;
+        connection->socket = socket;
+        g_object_weak_ref(G_OBJECT(socket), &EntryWorker::onSocketGone, connection.get());
+    }
+    connection->idle = shareObject(message);
+    connection->idleSince = currentInstant();
+}
+
+void EntryWorker::begin(SoupServerMessage* message)
+{
+    GSocket* socket = soup_server_message_get_socket(message);
+    auto it = m_connections.find(socket);
+    if (it != m_connections.end())
+        it->second->idle.reset();
+    auto exchange = std::make_shared<EntryExchange>(*this, message);
+    m_exchanges.insert(exchange);
+    if (m_connections.size() > m_maxConnections)
+        exchange->refuseLocally(RefusalReason::Overloaded, "entry.connections", "too many connections", 1s);
+    else
+        exchange->start();
+}
+
+void EntryWorker::sweep()
+{
+    Instant now = currentInstant();
+    std::vector<std::shared_ptr<EntryExchange>> exchanges(m_exchanges.begin(), m_exchanges.end());
+    for (const auto& exchange : exchanges)
+        exchange->sweep(now);
+    closeIdle(now);
+}
+
+void EntryWorker::closeIdle(Instant now)
+{
+    bool full = m_connections.size() > m_maxConnections;
+    std::vector<ObjectHandle<SoupServerMessage>> expired;
+    for (auto& [socket, connection] : m_connections) {
+        bool old = now - connection->idleSince >= m_settings.idleTimeout;
+        if (connection->idle && (old || full || (m_draining && !m_server)))
+            expired.push_back(std::move(connection->idle));
+    }
+    for (const auto& message : expired) {
+        ObjectHandle<GIOStream> stream(soup_server_message_steal_connection(message.get()));
+        if (stream)
+            g_io_stream_close(stream.get(), nullptr, nullptr);
+    }
+}
+
+void EntryWorker::remove(const std::shared_ptr<EntryExchange>& exchange)
+{
+    m_exchanges.erase(exchange);
+    if (m_exchanges.empty() && m_drained)
+        m_task.post(std::exchange(m_drained, nullptr));
+}
+
+void EntryWorker::finishDraining(std::function<void()> done)
+{
+    m_draining = true;
+    // Closing only the listeners keeps the connections whose requests are in flight.
+    if (m_server) {
+        GSList* listeners = soup_server_get_listeners(m_server.get());
+        for (GSList* it = listeners; it; it = it->next)
+            g_socket_close(static_cast<GSocket*>(it->data), nullptr);
+        g_slist_free(listeners);
+    }
+    m_drained = std::move(done);
+    if (m_exchanges.empty())
+        m_task.post(std::exchange(m_drained, nullptr));
+}
+
+const Candidate* EntryWorker::findExecutor(const std::string& service, const Id128& executor) const
+{
+    if (!m_candidates)
+        return nullptr;
+    auto it = std::find_if(m_candidates->begin(), m_candidates->end(),
+        [&](const Candidate& c) { return c.service == service && c.executor == executor; });
+    return it == m_candidates->end() ? nullptr : &*it;
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/EntryServer.h
@@ -0,0 +1,126 @@
+// An entry worker: a task that accepts callers over HTTP and relays their requests to executors.
+#pragma once
+
+#include "core/Balancer.h"
+#include "HttpHeaders.h"
+#include "RelayClient.h"
+#include "Settings.h"
+#include "Task.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace Gooseberrymill {
+
+// The calls of the Balancing concept on a balancer whose type only the worker knows.
+class BalancerPort {
+public:
+    virtual ~BalancerPort() = default;
+    virtual void setCandidates(std::shared_ptr<const CandidateList>, Instant) = 0;
+    virtual const Candidate* choose(const BalanceRequest&, Instant) = 0;
+    virtual void started(std::string_view upstream, Instant) = 0;
+    virtual void finished(std::string_view upstream, const LoadReport&, Instant) = 0;
+    virtual void abandoned(std::string_view upstream, Instant) = 0;
+    virtual void pathResult(std::string_view node, bool reached, Instant) = 0;
+};
+
+template <Balancing Balancer> class BalancerHolder final : public BalancerPort {
+public:
+    explicit BalancerHolder(Balancer balancer)
+        : m_balancer(std::move(balancer))
+    {
+    }
+    void setCandidates(std::shared_ptr<const CandidateList> candidates, Instant now) override
+    {
+        m_balancer.setCandidates(std::move(candidates), now);
+    }
+    const Candidate* choose(const BalanceRequest& request, Instant now) override
+    {
+        return m_balancer.choose(request, now);
+    }
+    void started(std::string_view upstream, Instant now) override { m_balancer.started(upstream, now); }
+    void finished(std::string_view upstream, const LoadReport& load, Instant now) override
+    {
+        m_balancer.finished(upstream, load, now);
+    }
+    void abandoned(std::string_view upstream, Instant now) override { m_balancer.abandoned(upstream, now); }
+    void pathResult(std::string_view node, bool reached, Instant now) override
+    {
+        m_balancer.pathResult(node, reached, now);
+    }
+
+private:
+    Balancer m_balancer;
+};
+
+struct EntryHooks {
+    std::function<void(const std::string& service)> offered; // a request for a service arrived
+    std::function<bool(const std::string& service)> allowRetry; // RetryBudget; empty: no budget
+    std::function<uint64_t()> configurationDigest;
+};
+
+class EntryExchange;
+
+// Everything but construction happens on the worker's task.
+class EntryWorker {
+public:
+    EntryWorker(Task&, const Settings&, RelayIdentity, EntryHooks, std::unique_ptr<BalancerPort>);
+    ~EntryWorker();
+
+    // `port` of the first worker may be 0; the others share the port it took.
+    Result<uint16_t> listen(const std::string& host, uint16_t port);
+    void setRoutes(std::shared_ptr<const RouteTable>);
+    void setCandidates(std::shared_ptr<const CandidateList>);
+
+    // From now on each response closes its connection.
+    void startDraining() { m_draining = true; }
+    // Stops listening; calls `done` when no request is in flight.
+    void finishDraining(std::function<void()> done);
+    size_t activeCount() const { return m_exchanges.size(); }
+
+private:
+    friend class EntryExchange;
+
+    struct CallerConnection {
+        EntryWorker* worker = nullptr;
+        GSocket* socket = nullptr; // weak
+        ObjectHandle<SoupServerMessage> idle; // the message that waits for the next request
+        Instant idleSince {};
+    };
+
+    static void onRequestStarted(SoupServer*, SoupServerMessage*, gpointer);
+    static void onEarly(SoupServer*, SoupServerMessage*, const char* path, GHashTable* query, gpointer);
+    static void onSocketGone(gpointer, GObject*);
+    void trackConnection(SoupServerMessage*);
+    void begin(SoupServerMessage*);
+    void sweep();
+    void closeIdle(Instant now);
+    void remove(const std::shared_ptr<EntryExchange>&);
+    const Candidate* findExecutor(const std::string& service, const Id128& executor) const;
+
+    Task& m_task;
+    const Settings& m_settings;
+    EntryHooks m_hooks;
+    std::unique_ptr<BalancerPort> m_balancer;
+    RelayClient m_client;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::shared_ptr<const CandidateList> m_candidates;
+    ObjectHandle<SoupServer> m_server;
+    std::set<std::shared_ptr<EntryExchange>> m_exchanges;
+    std::unordered_map<GSocket*, std::unique_ptr<CallerConnection>> m_connections;
+    size_t m_maxConnections;
+    SourceHandle m_sweepSource;
+    bool m_draining = false;
+    std::function<void()> m_drained;
+};
+
+template <Balancing Balancer> class EntryServer final : public EntryWorker {
+public:
+    EntryServer(Task& task, const Settings& settings, RelayIdentity identity, EntryHooks hooks, Balancer balancer)
+        : EntryWorker(task, settings, std::move(identity), std::move(hooks),
+            std::make_unique<BalancerHolder<Balancer>>(std::move(balancer)))
+    {
+    }
+};
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/Executor.cpp
@@ -0,0 +1,173 @@
+#include "Executor.h"
+
+#include "ExecutorJob.h"
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr Duration sweepInterval = 20ms;
+constexpr uint32_t tokenLifetimeMs = 3'600'000;
+
+} // namespace
+
+RefusalReason refusalOf(UpstreamState state)
+{
+    switch (state) {
+    case UpstreamState::Ejected:
+        return RefusalReason::Ejected;
+    case UpstreamState::Draining:
+        return RefusalReason::Draining;
+    case UpstreamState::Gone:
+        return RefusalReason::NoUpstream;
+    default:
+        return RefusalReason::None;
+    }
+}
+
+uint32_t workKeyOf(const Service& service, const Route& route)
+{
+    return static_cast<uint32_t>(&route - service.routes.data());
+}
+
+ExecutorBase::ExecutorBase(Task& task, const Settings& settings, const RelayIdentity& identity, ExecutorHooks hooks)
+    : m_task(task)
+    , m_settings(settings)
+    , m_identity(identity)
+    , m_hooks(std::move(hooks))
+    , m_server(task.context(), identity,
+          { [this](std::shared_ptr<RelayExchange> exchange) { onRequest(std::move(exchange)); },
+              [this](TokenQuery&& query, std::function<void(TokenReply)> reply) {
+                  onToken(std::move(query), std::move(reply));
+              },
+              m_hooks.configuration })
+{
+}
+
+ExecutorBase::~ExecutorBase()
+{
+    for (const auto& job : m_jobs)
+        job->detach();
+    m_jobs.clear();
+}
+
+void ExecutorBase::setRoutes(std::shared_ptr<const RouteTable> routes) { m_routes = std::move(routes); }
+
+void ExecutorBase::setUpstream(UpstreamEndpoint endpoint)
+{
+    auto& upstream = m_upstreams[endpoint.name];
+    bool isNew
+        = !upstream || upstream->endpoint.address != endpoint.address || upstream->endpoint.service != endpoint.service;
+    if (isNew) {
+        if (upstream) {
+            upstream->endpoint.state = UpstreamState::Gone;
+            refuseWaiting(*upstream);
+        }
+        upstream = std::make_shared<LocalUpstream>();
+        upstream->queue = makeQueue(endpoint);
+    }
+    if (isNew || upstream->endpoint.slots != endpoint.slots) {
+        upstream->client = std::make_unique<UpstreamClient>(
+            m_task.context(), endpoint.address, endpoint.slots, m_settings.connectTimeout);
+        upstream->queue->setSlots(endpoint.slots);
+    }
+    upstream->endpoint = std::move(endpoint);
+    auto held = upstream;
+    if (refusalOf(held->endpoint.state) != RefusalReason::None)
+        refuseWaiting(*held);
+    else
+        pump(held);
+    if (held->endpoint.state == UpstreamState::Gone)
+        m_upstreams.erase(held->endpoint.name);
+}
+
+std::optional<LoadReport> ExecutorBase::report(std::string_view upstream) const
+{
+    auto it = m_upstreams.find(upstream);
+    return it == m_upstreams.end() ? std::nullopt : std::optional(it->second->report());
+}
+
+void ExecutorBase::refuseWaiting(LocalUpstream& upstream)
+{
+    Instant now = currentInstant();
+    auto waiting = std::move(upstream.waiting);
+    upstream.waiting.clear();
+    for (const auto& [ticket, job] : waiting)
+        upstream.queue->cancel(ticket, now);
+    for (const auto& [ticket, job] : waiting)
+        job->refuse(Outcome::NotRun, refusalOf(upstream.endpoint.state), "executor.upstream");
+}
+
+void ExecutorBase::onRequest(std::shared_ptr<RelayExchange> exchange)
+{
+    auto job = std::make_shared<ExecutorJob>(*this, std::move(exchange));
+    m_jobs.insert(job);
+    if (!m_sweepSource) {
+        m_sweepSource = m_task.every(sweepInterval, [this] {
+            sweep();
+            return true;
+        });
+    }
+    job->start();
+}
+
+void ExecutorBase::onToken(TokenQuery&& query, std::function<void(TokenReply)> reply)
+{
+    if (m_hooks.token)
+        m_hooks.token(std::move(query), std::move(reply));
+    else
+        reply({ query.requestId, m_identity.incarnation, randomId(), tokenLifetimeMs });
+}
+
+void ExecutorBase::pump(const std::shared_ptr<LocalUpstream>& upstream)
+{
+    Instant now = currentInstant();
+    while (auto expired = upstream->queue->takeExpired(now)) {
+        auto node = upstream->waiting.extract(expired->ticket);
+        if (node)
+            node.mapped()->refuse(Outcome::NotRun, expired->reason, "executor.admission");
+    }
+    while (auto ticket = upstream->queue->takeReady(now)) {
+        auto node = upstream->waiting.extract(*ticket);
+        if (node)
+            node.mapped()->dispatch();
+        else
+            upstream->queue->finish(*ticket, {}, false, now);
+    }
+}
+
+void ExecutorBase::sweep()
+{
+    Instant now = currentInstant();
+    auto upstreams = m_upstreams;
+    for (const auto& [name, upstream] : upstreams) {
+        if (!upstream->waiting.empty())
+            pump(upstream);
+    }
+    std::vector<std::shared_ptr<ExecutorJob>> jobs(m_jobs.begin(), m_jobs.end());
+    for (const auto& job : jobs)
+        job->checkDeadline(now);
+    if (m_jobs.empty())
+        m_sweepSource.reset();
+}
+
+void ExecutorBase::remove(const std::shared_ptr<ExecutorJob>& job)
+{
+    m_jobs.erase(job);
+    if (!m_draining || !m_jobs.empty() || !m_drained)
+        return;
+    m_server.close();
+    m_task.post(std::exchange(m_drained, nullptr));
+}
+
+void ExecutorBase::drain(std::function<void()> done)
+{
+    m_draining = true;
+    m_drained = std::move(done);
+    if (m_jobs.empty()) {
+        m_server.close();
+        m_task.post(std::exchange(m_drained, nullptr));
+    }
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/ExecutorJob.cpp
@@ -0,0 +1,405 @@
+#include "ExecutorJob.h"
+
+#include <algorithm>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr size_t heldResponseBytes = 64 << 10; // a response up to this size is sent only when complete
+constexpr size_t maxStoredBytes = 1 << 20; // of a response kept for duplicates
+
+bool passesCheck(const AnswerCheck& check, const ResponseHead& response, uint64_t bytes)
+{
+    bool statusOk = check.statuses.empty()
+        || std::find(check.statuses.begin(), check.statuses.end(), response.status) != check.statuses.end();
+    const Header* type = findHeader(response.headers, HeaderName::contentType);
+    bool typeOk = check.contentType.empty() || (type && std::string_view(type->value).starts_with(check.contentType));
+    bool headerOk = check.requiredHeader.empty() || findHeader(response.headers, check.requiredHeader);
+    return statusOk && typeOk && headerOk && bytes >= check.minBytes;
+}
+
+} // namespace
+
+ExecutorJob::ExecutorJob(ExecutorBase& executor, std::shared_ptr<RelayExchange> exchange)
+    : m_executor(executor)
+    , m_exchange(std::move(exchange))
+    , m_routes(executor.m_routes)
+    , m_deadline(currentInstant() + std::chrono::milliseconds(head().deadlineMs))
+{
+}
+
+void ExecutorJob::start()
+{
+    if (!findTarget() || !checkTarget())
+        return;
+    receive();
+}
+
+bool ExecutorJob::findTarget()
+{
+    if (!m_routes) {
+        refuse(Outcome::NotRun, RefusalReason::NoConfiguration, "executor.route", 1s);
+        return false;
+    }
+    m_service = m_routes->service(head().service);
+    if (m_service) {
+        auto it = std::find_if(m_service->routes.begin(), m_service->routes.end(),
+            [&](const Route& route) { return route.name == head().route; });
+        m_route = it == m_service->routes.end() ? nullptr : &*it;
+    }
+    if (!m_route) {
+        refuse(Outcome::NotRun, RefusalReason::NoRoute, "executor.route");
+        return false;
+    }
+    if (head().executor && head().executor != m_executor.m_identity.incarnation) {
+        // Another incarnation was to run it; whether it did is not known here.
+        refuse(Outcome::Unknown, RefusalReason::HolderGone, "executor.incarnation");
+        return false;
+    }
+    auto it = m_executor.m_upstreams.find(head().upstream);
+    if (it == m_executor.m_upstreams.end() || it->second->endpoint.service != head().service) {
+        refuse(Outcome::NotRun, RefusalReason::NoUpstream, "executor.upstream");
+        return false;
+    }
+    m_upstream = it->second;
+    return true;
+}
+
+bool ExecutorJob::checkTarget()
+{
+    if (head().inquiry)
+        return true; // runs nothing
+    if (m_executor.m_draining) {
+        refuse(Outcome::NotRun, RefusalReason::Draining, "executor.drain");
+        return false;
+    }
+    if (auto reason = refusalOf(m_upstream->endpoint.state); reason != RefusalReason::None) {
+        refuse(Outcome::NotRun, reason, "executor.upstream");
+        return false;
+    }
+    if (auto refusal = m_executor.m_hooks.screen ? m_executor.m_hooks.screen(head()) : std::nullopt) {
+        refuse(std::move(*refusal));
+        return false;
+    }
+    return true;
+}
+
+void ExecutorJob::receive()
+{
+    std::weak_ptr<ExecutorJob> weak = weak_from_this();
+    m_exchange->setHandlers({
+        [weak](std::string&& bytes) {
+            if (auto self = weak.lock())
+                self->onChunk(std::move(bytes));
+        },
+        [weak] {
+            if (auto self = weak.lock())
+                self->onBodyEnd();
+        },
+        [weak] {
+            if (auto self = weak.lock())
+                self->onCancelled();
+        },
+        [weak] {
+            if (auto self = weak.lock())
+                self->readNext();
+        },
+    });
+    m_holdsBody = !m_route->repeatable || isOperation();
+    uint64_t limit = std::min(m_executor.m_settings.maxOperationBodyBytes, m_route->maxBodyBytes);
+    if (m_holdsBody && head().bodyLength > 0 && static_cast<uint64_t>(head().bodyLength) > limit)
+        refuse(Outcome::NotRun, RefusalReason::BodyTooLarge, "executor.body");
+    else if (!m_holdsBody || !head().bodyLength)
+        askGate();
+}
+
+void ExecutorJob::onChunk(std::string&& bytes)
+{
+    if (m_call && !m_holdsBody) {
+        m_call->pushBody(std::move(bytes));
+        if (!m_call->wantsBody())
+            m_exchange->pauseBody();
+        return;
+    }
+    m_body += bytes;
+    if (!m_holdsBody)
+        m_exchange->pauseBody(); // until it is dispatched
+    else if (m_body.size() > m_executor.m_settings.maxOperationBodyBytes)
+        refuse(Outcome::NotRun, RefusalReason::BodyTooLarge, "executor.body");
+}
+
+void ExecutorJob::onBodyEnd()
+{
+    m_bodyEnded = true;
+    if (!m_holdsBody) {
+        if (m_call)
+            m_call->endBody();
+    } else if (head().bodyLength > 0 && m_body.size() != static_cast<size_t>(head().bodyLength))
+        refuse(Outcome::NotRun, RefusalReason::BadRequest, "executor.body");
+    else if (head().bodyLength)
+        askGate();
+}
+
+void ExecutorJob::askGate()
+{
+    auto& gate = m_executor.m_hooks.operations;
+    if (!isOperation() || !gate.begin) {
+        if (head().inquiry)
+            refuse(Outcome::Unknown, RefusalReason::HolderGone, "executor.inquiry");
+        else
+            admit();
+        return;
+    }
+    gate.begin(head(), m_body, [weak = weak_from_this()](OperationDecision decision) {
+        if (auto self = weak.lock(); self && !self->m_ended)
+            self->onDecision(std::move(decision));
+    });
+}
+
+void ExecutorJob::onDecision(OperationDecision&& decision)
+{
+    if (decision.kind == OperationDecision::Kind::Respond) {
+        respond(*decision.response);
+    } else if (decision.kind == OperationDecision::Kind::Refuse) {
+        refuse(std::move(decision.refusal));
+    } else if (head().inquiry) {
+        refuse(Outcome::Unknown, RefusalReason::HolderGone, "executor.inquiry");
+    } else {
+        m_gateOpen = true;
+        m_stored = std::make_shared<StoredResponse>();
+        if (checkTarget()) // a claim takes time, in which the upstream may have left
+            admit();
+    }
+}
+
+void ExecutorJob::respond(const StoredResponse& stored)
+{
+    ResponseHead response = stored.head;
+    response.load = m_upstream->report();
+    response.bodyLength = static_cast<int64_t>(stored.body.size());
+    m_exchange->sendHead(std::move(response));
+    if (!stored.body.empty())
+        m_exchange->sendChunk(stored.body);
+    m_exchange->sendEnd();
+    end();
+}
+
+void ExecutorJob::admit()
+{
+    Instant now = currentInstant();
+    m_ticket = ++m_executor.m_lastTicket;
+    AdmissionDecision decision
+        = m_upstream->queue->offer({ m_ticket, m_route->workClass, workKeyOf(*m_service, *m_route), m_deadline }, now);
+    if (decision.verdict == AdmissionVerdict::Dispatch)
+        dispatch();
+    else if (decision.verdict == AdmissionVerdict::Queued)
+        m_upstream->waiting[m_ticket] = shared_from_this();
+    else
+        refuse(Outcome::NotRun, decision.reason, "executor.admission", decision.retryAfter);
+}
+
+void ExecutorJob::dispatch()
+{
+    m_hasSlot = true;
+    UpstreamRequest request { head().requestId, head().method, head().target, head().headers, m_route->repeatable,
+        head().bodyLength, std::nullopt, std::max(m_deadline - currentInstant(), Duration {}) };
+    if (m_holdsBody) {
+        request.bodyLength = static_cast<int64_t>(m_body.size());
+        request.body = std::move(m_body);
+    }
+    std::weak_ptr<ExecutorJob> weak = weak_from_this();
+    auto bind = [weak](auto method) {
+        return [weak, method](auto&&... arguments) {
+            if (auto self = weak.lock(); self && !self->m_ended)
+                ((*self).*method)(std::forward<decltype(arguments)>(arguments)...);
+        };
+    };
+    m_call = m_upstream->client->start(std::move(request),
+        { bind(&ExecutorJob::onHead), bind(&ExecutorJob::onResponseChunk), bind(&ExecutorJob::onResponseEnd),
+            bind(&ExecutorJob::onFailure), [weak] {
+                if (auto self = weak.lock())
+                    self->m_exchange->resumeBody();
+            } });
+    if (m_holdsBody)
+        return;
+    m_call->pushBody(std::exchange(m_body, {}));
+    if (m_bodyEnded)
+        m_call->endBody();
+    m_exchange->resumeBody();
+}
+
+void ExecutorJob::onHead(ResponseHead&& response)
+{
+    m_response = std::move(response);
+    readNext();
+}
+
+void ExecutorJob::onResponseChunk(std::string&& bytes)
+{
+    m_responseBytes += bytes.size();
+    if (m_stored && m_stored->body.size() + bytes.size() <= maxStoredBytes)
+        m_stored->body += bytes;
+    else
+        m_stored.reset();
+    if (m_headSent) {
+        m_exchange->sendChunk(std::move(bytes));
+    } else if (!m_callerGone) {
+        m_held += bytes;
+        if (m_held.size() > heldResponseBytes)
+            streamHead();
+    }
+    readNext();
+}
+
+void ExecutorJob::streamHead()
+{
+    m_headSent = true;
+    m_response.load = m_upstream->report();
+    m_exchange->sendHead(m_response);
+    if (!m_held.empty())
+        m_exchange->sendChunk(std::exchange(m_held, {}));
+}
+
+void ExecutorJob::readNext()
+{
+    // The response is read on when nobody waits any more, so that the outcome of an operation is known.
+    if (m_call && !m_ended && (m_callerGone || m_exchange->isWritable()))
+        m_call->readMore();
+}
+
+void ExecutorJob::onResponseEnd()
+{
+    leaveSlot(judge(), true);
+    if (m_gateOpen && m_executor.m_hooks.operations.settle) {
+        if (m_stored)
+            m_stored->head = m_response;
+        m_executor.m_hooks.operations.settle(head(), m_stored);
+    }
+    m_gateOpen = false;
+    if (!m_headSent) {
+        if (head().method != "HEAD")
+            m_response.bodyLength = static_cast<int64_t>(m_held.size());
+        streamHead();
+    }
+    m_exchange->sendEnd();
+    end();
+}
+
+SampleKind ExecutorJob::judge() const
+{
+    constexpr uint16_t firstServerError = 500;
+    if (m_response.status == SOUP_STATUS_SERVICE_UNAVAILABLE && findHeader(m_response.headers, HeaderName::retryAfter))
+        return SampleKind::Shed;
+    if (m_response.status >= firstServerError)
+        return SampleKind::Failed;
+    uint64_t bytes = head().method == "HEAD" ? m_route->check.minBytes : m_responseBytes;
+    return passesCheck(m_route->check, m_response, bytes) ? SampleKind::Ok : SampleKind::Wrong;
+}
+
+void ExecutorJob::onFailure(UpstreamFailure&& failure)
+{
+    bool cut = failure.reason == RefusalReason::UpstreamTruncated || failure.reason == RefusalReason::UpstreamInvalid;
+    leaveSlot(cut ? SampleKind::Wrong : SampleKind::Failed, false);
+    if (failure.reason == RefusalReason::UpstreamCrashed && m_executor.m_hooks.crashed)
+        m_executor.m_hooks.crashed(head());
+    Refusal refusal;
+    refusal.outcome = failure.started ? Outcome::Unknown : Outcome::NotRun;
+    refusal.reason = failure.reason;
+    refusal.step = failure.error.step;
+    refusal.peer = failure.error.peer;
+    refuse(std::move(refusal));
+}
+
+void ExecutorJob::onCancelled()
+{
+    auto self = shared_from_this();
+    m_callerGone = true;
+    bool mustFinish = m_call && m_call->isStarted() && !m_route->repeatable;
+    if (m_ended || mustFinish) {
+        readNext();
+        return;
+    }
+    Outcome outcome = m_call && m_call->isStarted() ? Outcome::Unknown : Outcome::NotRun;
+    if (m_call)
+        m_call->cancel();
+    leaveSlot(SampleKind::Cancelled, false);
+    refuse(outcome, RefusalReason::Cancelled, "executor.caller");
+}
+
+void ExecutorJob::checkDeadline(Instant now)
+{
+    if (m_ended || now < m_deadline)
+        return;
+    bool started = m_call && m_call->isStarted();
+    if (started && !m_route->repeatable)
+        return; // its outcome is still wanted; the entry answers its caller by itself
+    if (!m_ticket && m_gateOpen)
+        return;
+    if (m_call)
+        m_call->cancel();
+    leaveSlot(SampleKind::Cancelled, false);
+    refuse(started ? Outcome::Unknown : Outcome::NotRun, RefusalReason::DeadlineExceeded, "executor.deadline");
+}
+
+void ExecutorJob::leaveSlot(SampleKind kind, bool completed)
+{
+    Instant now = currentInstant();
+    if (m_ticket && !m_hasSlot) {
+        m_upstream->queue->cancel(m_ticket, now);
+        m_upstream->waiting.erase(m_ticket);
+    }
+    if (!std::exchange(m_hasSlot, false))
+        return;
+    Duration length = m_call->serviceTime();
+    m_upstream->queue->finish(m_ticket, length, completed, now);
+    if (m_executor.m_hooks.sample && m_call->isStarted())
+        m_executor.m_hooks.sample(m_upstream->endpoint.name, { kind, workKeyOf(*m_service, *m_route), length }, now);
+}
+
+void ExecutorJob::refuse(Outcome outcome, RefusalReason reason, const char* step, Duration retryAfter)
+{
+    Refusal refusal;
+    refusal.outcome = outcome;
+    refusal.reason = reason;
+    refusal.step = step;
+    refusal.peer = m_executor.m_identity.node;
+    refusal.retryAfterMs
+        = static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count());
+    refuse(std::move(refusal));
+}
+
+void ExecutorJob::refuse(Refusal refusal)
+{
+    if (m_ended)
+        return;
+    if (m_upstream)
+        refusal.load = m_upstream->report();
+    if (std::exchange(m_gateOpen, false) && m_executor.m_hooks.operations.finish)
+        m_executor.m_hooks.operations.finish(head(), refusal);
+    if (m_headSent)
+        m_exchange->abort();
+    else
+        m_exchange->refuse(std::move(refusal));
+    end();
+}
+
+void ExecutorJob::end()
+{
+    auto self = shared_from_this();
+    m_ended = true;
+    m_exchange->setHandlers({});
+    auto upstream = m_upstream;
+    m_executor.remove(self);
+    if (upstream)
+        m_executor.pump(upstream);
+}
+
+void ExecutorJob::detach()
+{
+    m_ended = true;
+    if (m_call)
+        m_call->cancel();
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/ExecutorJob.h
@@ -0,0 +1,66 @@
+// One request at the executor, from its head until its response was sent.
+#pragma once
+
+#include "Executor.h"
+
+namespace Gooseberrymill {
+
+class ExecutorJob : public std::enable_shared_from_this<ExecutorJob> {
+public:
+    ExecutorJob(ExecutorBase&, std::shared_ptr<RelayExchange>);
+
+    void start();
+    void dispatch(); // a slot is free
+    void refuse(Outcome, RefusalReason, const char* step, Duration retryAfter = {});
+    void refuse(Refusal);
+    void checkDeadline(Instant now);
+    TicketId ticket() const { return m_ticket; }
+    void detach(); // the executor ends; nothing more is reported
+
+private:
+    const RequestHead& head() const { return m_exchange->head(); }
+    bool isOperation() const { return head().operationKind != OperationKind::None; }
+    bool findTarget();
+    bool checkTarget();
+    void receive();
+    void onChunk(std::string&&);
+    void onBodyEnd();
+    void askGate();
+    void onDecision(OperationDecision&&);
+    void respond(const StoredResponse&);
+    void admit();
+    void onHead(ResponseHead&&);
+    void onResponseChunk(std::string&&);
+    void onResponseEnd();
+    void onFailure(UpstreamFailure&&);
+    void onCancelled();
+    void streamHead();
+    void readNext();
+    void leaveSlot(SampleKind, bool completed);
+    SampleKind judge() const;
+    void end();
+
+    ExecutorBase& m_executor;
+    std::shared_ptr<RelayExchange> m_exchange;
+    std::shared_ptr<const RouteTable> m_routes; // keeps m_service and m_route
+    const Service* m_service = nullptr;
+    const Route* m_route = nullptr;
+    std::shared_ptr<LocalUpstream> m_upstream;
+    std::shared_ptr<UpstreamCall> m_call;
+    TicketId m_ticket = 0;
+    Instant m_deadline {};
+    std::string m_body; // the request, or what of it came before the dispatch
+    bool m_holdsBody = false; // the request is dispatched only when it is here whole
+    bool m_bodyEnded = false;
+    bool m_hasSlot = false;
+    bool m_gateOpen = false; // the gate let the operation run and waits for its end
+    bool m_callerGone = false;
+    bool m_ended = false;
+    ResponseHead m_response;
+    std::string m_held; // response bytes before the head is sent
+    std::shared_ptr<StoredResponse> m_stored;
+    uint64_t m_responseBytes = 0;
+    bool m_headSent = false;
+};
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/HttpHeaders.cpp
@@ -0,0 +1,68 @@
+#include "HttpHeaders.h"
+
+#include <algorithm>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr std::array<std::string_view, 12> hopByHop { "connection", "keep-alive", "proxy-connection",
+    "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+    "expect", "http2-settings" };
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+        [](char x, char y) { return g_ascii_tolower(x) == g_ascii_tolower(y); });
+}
+
+bool isHopByHop(std::string_view name)
+{
+    return std::any_of(hopByHop.begin(), hopByHop.end(), [&](auto known) { return equalsIgnoringCase(known, name); });
+}
+
+} // namespace
+
+std::vector<Header> endToEndHeaders(SoupMessageHeaders* headers)
+{
+    std::vector<Header> result;
+    bool hasConnection = soup_message_headers_get_list(headers, "Connection");
+    SoupMessageHeadersIter iter;
+    const char* name = nullptr;
+    const char* value = nullptr;
+    soup_message_headers_iter_init(&iter, headers);
+    while (soup_message_headers_iter_next(&iter, &name, &value)) {
+        if (!isHopByHop(name) && !(hasConnection && soup_message_headers_header_contains(headers, "Connection", name)))
+            result.push_back({ name, value });
+    }
+    return result;
+}
+
+size_t headerBytes(SoupMessageHeaders* headers)
+{
+    constexpr size_t separators = 4; // ": " and the line end
+    size_t size = 0;
+    SoupMessageHeadersIter iter;
+    const char* name = nullptr;
+    const char* value = nullptr;
+    soup_message_headers_iter_init(&iter, headers);
+    while (soup_message_headers_iter_next(&iter, &name, &value))
+        size += strlen(name) + strlen(value) + separators;
+    return size;
+}
+
+bool isHeaderNamed(const Header& header, std::string_view name) { return equalsIgnoringCase(header.name, name); }
+
+const Header* findHeader(const std::vector<Header>& headers, std::string_view name)
+{
+    auto it = std::find_if(
+        headers.begin(), headers.end(), [&](const Header& header) { return isHeaderNamed(header, name); });
+    return it == headers.end() ? nullptr : &*it;
+}
+
+void removeHeaders(std::vector<Header>& headers, std::string_view name)
+{
+    std::erase_if(headers, [&](const Header& header) { return isHeaderNamed(header, name); });
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,146 @@
+#include "Node.h"
+
+#include "core/FifoAdmission.h"
+#include "core/RoundRobinBalancer.h"
+#include "FleetAuth.h"
+#include "Log.h"
+
+#include <atomic>
+#include <fmt/format.h>
+#include <future>
+
+namespace Gooseberrymill {
+
+void runOn(Task& task, std::function<void()> function)
+{
+    std::promise<void> done;
+    task.post([&] {
+        function();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+Node::Node(Settings settings, ExecutorHooks executorHooks, EntryHooks entryHooks)
+    : m_settings(std::move(settings))
+    , m_identity { m_settings.fleetKey, m_settings.nodeName, randomId() }
+    , m_executorHooks(std::move(executorHooks))
+    , m_entryHooks(std::move(entryHooks))
+{
+}
+
+Node::~Node() { endTasks(); }
+
+std::optional<Error> Node::start()
+{
+    if (auto error = startExecutor())
+        return error;
+    return startWorkers();
+}
+
+std::optional<Error> Node::startExecutor()
+{
+    m_executorTask = std::make_unique<Task>("executor", Task::Thread::New);
+    m_executorTask->start();
+    std::optional<Error> failure;
+    runOn(*m_executorTask, [&] {
+        auto makeQueue = [](const UpstreamEndpoint& endpoint) {
+            return FifoAdmission(endpoint.slots, AdmissionPolicy().queueLimit);
+        };
+        m_executor = std::make_unique<Executor<FifoAdmission>>(
+            *m_executorTask, m_settings, m_identity, m_executorHooks, makeQueue);
+        auto port = m_executor->listen(m_settings.relayListen);
+        if (port)
+            m_relayPort = port.value();
+        else
+            failure = port.error();
+    });
+    return failure;
+}
+
+std::optional<Error> Node::startWorkers()
+{
+    std::optional<Error> failure;
+    m_callerPort = m_settings.callerListen.port;
+    for (uint32_t i = 0; i < std::max(1U, m_settings.workers) && !failure; ++i) {
+        Worker& worker = m_workers.emplace_back();
+        worker.task = std::make_unique<Task>(fmt::format("entry-{}", i), Task::Thread::New);
+        worker.task->start();
+        runOn(*worker.task, [&] {
+            worker.entry = std::make_unique<EntryServer<RoundRobinBalancer>>(
+                *worker.task, m_settings, m_identity, m_entryHooks, RoundRobinBalancer());
+            auto port = worker.entry->listen(m_settings.callerListen.host, m_callerPort);
+            if (port)
+                m_callerPort = port.value();
+            else
+                failure = port.error();
+        });
+    }
+    log(LogLevel::Info, "listening",
+        { { "node", m_settings.nodeName }, { "callers", m_callerPort }, { "relay", m_relayPort } });
+    return failure;
+}
+
+std::string Node::relayAddress() const
+{
+    return m_settings.relayAdvertise.empty() ? fmt::format("{}:{}", m_settings.relayListen.host, m_relayPort)
+                                             : m_settings.relayAdvertise;
+}
+
+void Node::setRoutes(const std::shared_ptr<const RouteTable>& routes)
+{
+    m_executorTask->post([this, routes] { m_executor->setRoutes(routes); });
+    for (Worker& worker : m_workers)
+        worker.task->post([entry = worker.entry.get(), routes] { entry->setRoutes(routes); });
+}
+
+void Node::setCandidates(const std::shared_ptr<const CandidateList>& candidates)
+{
+    for (Worker& worker : m_workers)
+        worker.task->post([entry = worker.entry.get(), candidates] { entry->setCandidates(candidates); });
+}
+
+void Node::setUpstream(UpstreamEndpoint endpoint)
+{
+    m_executorTask->post([this, endpoint = std::move(endpoint)] { m_executor->setUpstream(endpoint); });
+}
+
+void Node::stop(std::function<void()> done)
+{
+    auto left = std::make_shared<std::atomic<size_t>>(m_workers.size() + 1);
+    auto ended = [left, done = std::move(done)] {
+        if (left->fetch_sub(1) == 1)
+            done();
+    };
+    m_executorTask->post([this, ended] { m_executor->drain(ended); });
+    for (Worker& worker : m_workers)
+        stopWorker(worker, ended);
+}
+
+void Node::stopWorker(Worker& worker, std::function<void()> done)
+{
+    worker.task->post([this, &worker, done = std::move(done)] {
+        worker.entry->startDraining();
+        worker.graceTimer = worker.task->every(m_settings.drainGrace, [&worker, done] {
+            worker.entry->finishDraining(done);
+            return false;
+        });
+    });
+}
+
+void Node::endTasks()
+{
+    for (Worker& worker : m_workers) {
+        runOn(*worker.task, [&] {
+            worker.graceTimer.reset();
+            worker.entry.reset();
+        });
+        worker.task.reset();
+    }
+    m_workers.clear();
+    if (m_executorTask)
+        runOn(*m_executorTask, [&] { m_executor.reset(); });
+    m_executorTask.reset();
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/RelayClient.cpp
@@ -0,0 +1,367 @@
+#include "RelayClient.h"
+
+#include <algorithm>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr size_t maxIdlePerPeer = 64;
+
+// State of one attempt to connect, until the peer's Hello came.
+struct Opening : std::enable_shared_from_this<Opening> {
+    std::function<void(Result<std::shared_ptr<RelayConnection>>)> done;
+    std::shared_ptr<RelayConnection> connection;
+    ObjectHandle<GSocket> socket;
+    SourceHandle watch;
+    SourceHandle timer;
+
+    void finish(Result<std::shared_ptr<RelayConnection>> result)
+    {
+        auto callback = std::exchange(done, nullptr);
+        watch.reset();
+        timer.reset();
+        socket.reset();
+        if (auto held = std::exchange(connection, nullptr))
+            held->setHandlers({});
+        if (callback)
+            callback(std::move(result));
+    }
+
+    // Callers expect no callback before their call returns.
+    void failLater(GMainContext* context, Error error)
+    {
+        timer = callAfter(context, {}, [self = shared_from_this(), error = std::move(error)] {
+            auto held = keepAlive(self);
+            Error copy = error;
+            held->finish(std::move(copy));
+            return false;
+        });
+    }
+};
+
+void onConnected(const std::shared_ptr<Opening>& opening, GMainContext* context, const RelayIdentity& identity,
+    const std::string& address)
+{
+    auto held = keepAlive(opening);
+    GError* error = nullptr;
+    if (!g_socket_check_connect_result(held->socket.get(), &error)) {
+        held->finish(errorFrom(error, "relay.connect", address));
+        return;
+    }
+    held->connection
+        = std::make_shared<RelayConnection>(context, std::move(held->socket), identity, RelaySide::Client, address);
+    std::weak_ptr<Opening> weak = held;
+    held->connection->setHandlers({
+        [weak](RelayMessage&& /*hello*/) {
+            if (auto self = weak.lock()) {
+                auto ready = self->connection;
+                self->finish(std::move(ready));
+            }
+        },
+        [weak](const Error& failure) {
+            if (auto self = weak.lock())
+                self->finish(failure);
+        },
+        {},
+    });
+    held->connection->open();
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] RelayCall
+//-----------------------------------------------------------------------------
+
+RelayCall::RelayCall(RequestHead head, Handlers handlers)
+    : m_head(std::move(head))
+    , m_handlers(std::make_shared<Handlers>(std::move(handlers)))
+{
+}
+
+void RelayCall::attach(
+    std::shared_ptr<RelayConnection> connection, std::function<void(std::shared_ptr<RelayConnection>)> release)
+{
+    m_connection = std::move(connection);
+    m_release = std::move(release);
+    m_headStart = m_connection->queuedTotal();
+    std::weak_ptr<RelayCall> weak = weak_from_this();
+    m_connection->setHandlers({
+        [weak](RelayMessage&& message) {
+            if (auto self = weak.lock())
+                self->onMessage(std::move(message));
+        },
+        [weak](const Error& error) {
+            if (auto self = weak.lock())
+                self->fail(error);
+        },
+        [weak] {
+            if (auto self = weak.lock(); self && !self->m_done)
+                self->m_handlers->writable();
+        },
+    });
+    m_connection->queue(m_head);
+    if (!m_head.bodyLength)
+        endBody();
+    else
+        m_connection->flush();
+    if (!m_done)
+        m_handlers->writable();
+}
+
+void RelayCall::sendChunk(std::string bytes)
+{
+    g_assert(bytes.size() <= maxChunkBytes);
+    if (m_connection && !m_bodySent)
+        m_connection->send(BodyChunk { std::move(bytes) });
+}
+
+void RelayCall::endBody()
+{
+    if (!m_connection || m_bodySent)
+        return;
+    m_bodySent = true;
+    m_connection->send(BodyEnd {});
+}
+
+void RelayCall::pause()
+{
+    if (m_connection)
+        m_connection->pauseReading();
+}
+
+void RelayCall::resume()
+{
+    if (m_connection)
+        m_connection->resumeReading();
+}
+
+void RelayCall::cancel()
+{
+    m_done = true;
+    if (m_connection)
+        m_connection->reset();
+    m_connection.reset();
+}
+
+void RelayCall::onMessage(RelayMessage&& message)
+{
+    auto self = shared_from_this();
+    if (m_done)
+        return;
+    if (auto* head = std::get_if<ResponseHead>(&message))
+        onHead(std::move(*head));
+    else if (auto* refusal = std::get_if<Refusal>(&message))
+        onRefusal(std::move(*refusal));
+    else if (auto* chunk = std::get_if<BodyChunk>(&message); chunk && m_gotHead)
+        m_handlers->chunk(std::move(chunk->bytes));
+    else if (std::holds_alternative<BodyEnd>(message) && m_gotHead) {
+        finish();
+        m_handlers->end();
+    } else
+        fail({ ErrorCode::Invalid, "relay.response", m_connection->peer(), "message out of turn" });
+}
+
+void RelayCall::onHead(ResponseHead&& head)
+{
+    if (m_gotHead || head.requestId != m_head.requestId) {
+        fail({ ErrorCode::Invalid, "relay.response", m_connection->peer(), "response to another request" });
+        return;
+    }
+    m_gotHead = true;
+    m_handlers->head(std::move(head));
+}
+
+void RelayCall::onRefusal(Refusal&& refusal)
+{
+    // A zero id closes the connection: a request that crossed it on the way was not run.
+    bool closes = !refusal.requestId;
+    if (m_gotHead || (!closes && refusal.requestId != m_head.requestId)) {
+        fail({ ErrorCode::Invalid, "relay.response", m_connection->peer(), "refusal of another request" });
+        return;
+    }
+    refusal.requestId = m_head.requestId;
+    if (closes) {
+        m_done = true;
+        m_connection->close();
+    } else
+        finish();
+    m_handlers->refused(std::move(refusal));
+}
+
+void RelayCall::fail(const Error& error)
+{
+    if (m_done)
+        return;
+    m_done = true;
+    Outcome outcome = isHeadWritten() ? Outcome::Unknown : Outcome::NotRun;
+    if (m_connection)
+        m_connection->reset();
+    m_handlers->failed(error, outcome);
+}
+
+void RelayCall::finish()
+{
+    m_done = true;
+    auto connection = std::exchange(m_connection, nullptr);
+    if (m_bodySent)
+        m_release(std::move(connection));
+    else
+        connection->reset(); // the rest of the request would be taken for the next one
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] RelayClient
+//-----------------------------------------------------------------------------
+
+RelayClient::RelayClient(GMainContext* context, RelayIdentity identity, Duration connectTimeout)
+    : m_context(context)
+    , m_identity(std::move(identity))
+    , m_connectTimeout(connectTimeout)
+{
+}
+
+RelayClient::~RelayClient() { *m_alive = false; }
+
+std::shared_ptr<RelayCall> RelayClient::call(const std::string& address, RequestHead head, RelayCall::Handlers handlers)
+{
+    auto call = std::make_shared<RelayCall>(std::move(head), std::move(handlers));
+    auto start = [this, alive = m_alive, address, call](Result<std::shared_ptr<RelayConnection>> result) {
+        if (!*alive)
+            return;
+        if (!result) {
+            call->fail(result.error());
+            return;
+        }
+        if (call->m_done) {
+            release(address, std::move(result).value());
+            return;
+        }
+        call->attach(std::move(result).value(), [this, alive, address](std::shared_ptr<RelayConnection> connection) {
+            if (*alive)
+                release(address, std::move(connection));
+        });
+    };
+    acquire(address, std::move(start));
+    return call;
+}
+
+void RelayClient::query(
+    const std::string& address, RelayMessage message, std::function<void(Result<RelayMessage>)> done)
+{
+    acquire(address,
+        [this, alive = m_alive, address, message = std::move(message), done = std::move(done)](
+            Result<std::shared_ptr<RelayConnection>> result) {
+            if (!result) {
+                done(result.error());
+                return;
+            }
+            auto connection = result.value();
+            // The handlers keep the connection until the peer replies or closes.
+            connection->setHandlers({
+                [this, alive, address, connection, done](RelayMessage&& reply) {
+                    auto held = keepAlive(connection);
+                    auto finished = done;
+                    held->setHandlers({});
+                    if (*alive)
+                        release(address, held);
+                    finished(std::move(reply));
+                },
+                [connection, done](const Error& error) {
+                    auto held = keepAlive(connection);
+                    auto finished = done;
+                    held->setHandlers({});
+                    finished(error);
+                },
+                {},
+            });
+            connection->send(message);
+        });
+}
+
+size_t RelayClient::idleCount() const
+{
+    size_t n = 0;
+    for (const auto& [address, connections] : m_idle)
+        n += connections.size();
+    return n;
+}
+
+void RelayClient::acquire(const std::string& address, Connected done)
+{
+    auto& idle = m_idle[address];
+    if (idle.empty()) {
+        connect(address, std::move(done));
+        return;
+    }
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    connection->setHandlers({});
+    done(std::move(connection));
+}
+
+void RelayClient::connect(const std::string& address, Connected done)
+{
+    ObjectHandle<GSocketAddress> target = parseAddress(address);
+    auto opening = std::make_shared<Opening>();
+    opening->done = std::move(done);
+    if (!target) {
+        opening->failLater(m_context, { ErrorCode::Malformed, "relay.connect", address, "not an address" });
+        return;
+    }
+    opening->timer = callAfter(m_context, m_connectTimeout, [opening, address] {
+        auto self = keepAlive(opening);
+        self->finish(Error { ErrorCode::Timeout, "relay.connect", address, "" });
+        return false;
+    });
+    GError* error = nullptr;
+    ObjectHandle<GSocket> socket(
+        g_socket_new(g_socket_address_get_family(target.get()), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error));
+    if (socket) {
+        g_socket_set_blocking(socket.get(), FALSE);
+        if (g_socket_connect(socket.get(), target.get(), nullptr, &error)
+            || g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING)) {
+            g_clear_error(&error);
+            opening->watch = watchSocket(m_context, socket.get(), G_IO_OUT,
+                [opening, address, context = m_context, identity = m_identity](GIOCondition) {
+                    onConnected(opening, context, identity, address);
+                    return false;
+                });
+            opening->socket = std::move(socket);
+            return;
+        }
+    }
+    opening->failLater(m_context, errorFrom(error, "relay.connect", address));
+}
+
+void RelayClient::release(const std::string& address, std::shared_ptr<RelayConnection> connection)
+{
+    auto& idle = m_idle[address];
+    connection->resumeReading();
+    if (!connection->isOpen() || idle.size() >= maxIdlePerPeer) {
+        connection->close();
+        return;
+    }
+    auto* plain = connection.get();
+    auto drop = [this, alive = m_alive, address, plain] {
+        if (*alive)
+            dropIdle(address, plain);
+    };
+    // Whatever comes on an idle connection ends it.
+    connection->setHandlers({ [drop](RelayMessage&&) { drop(); }, [drop](const Error&) { drop(); }, {} });
+    idle.push_back(std::move(connection));
+}
+
+void RelayClient::dropIdle(const std::string& address, const RelayConnection* connection)
+{
+    auto& idle = m_idle[address];
+    auto it = std::find_if(idle.begin(), idle.end(), [&](const auto& held) { return held.get() == connection; });
+    if (it == idle.end())
+        return;
+    auto dropped = std::move(*it);
+    idle.erase(it);
+    dropped->close();
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/RelayClient.h
@@ -0,0 +1,81 @@
+// Client side of the relay: calls to executors over pooled connections, one request at a time on each.
+#pragma once
+
+#include "RelayConnection.h"
+
+#include <map>
+
+namespace Gooseberrymill {
+
+// One request relayed to an executor.
+class RelayCall : public std::enable_shared_from_this<RelayCall> {
+public:
+    struct Handlers {
+        std::function<void(ResponseHead&&)> head;
+        std::function<void(std::string&&)> chunk;
+        std::function<void()> end; // the response is complete
+        std::function<void(Refusal&&)> refused;
+        std::function<void(const Error&, Outcome)> failed; // NotRun: no byte of the head was written
+        std::function<void()> writable; // connected, or ready for more of the body
+    };
+
+    RelayCall(RequestHead, Handlers);
+
+    bool isWritable() const { return m_connection && m_connection->isWritable(); }
+    void sendChunk(std::string bytes); // at most maxChunkBytes; only while connected
+    void endBody();
+    void pause(); // stops the response
+    void resume();
+    void cancel(); // no handler runs afterwards; the connection is not reused
+    bool isDone() const { return m_done; }
+    bool isHeadWritten() const { return m_connection && m_connection->writtenTotal() > m_headStart; } // at least a byte
+
+private:
+    friend class RelayClient;
+
+    void attach(std::shared_ptr<RelayConnection>, std::function<void(std::shared_ptr<RelayConnection>)> release);
+    void onMessage(RelayMessage&&);
+    void onHead(ResponseHead&&);
+    void onRefusal(Refusal&&);
+    void fail(const Error&);
+    void finish();
+
+    RequestHead m_head;
+    std::shared_ptr<Handlers> m_handlers;
+    std::shared_ptr<RelayConnection> m_connection;
+    std::function<void(std::shared_ptr<RelayConnection>)> m_release;
+    uint64_t m_headStart = 0;
+    bool m_bodySent = false;
+    bool m_gotHead = false;
+    bool m_done = false;
+};
+
+class RelayClient {
+public:
+    RelayClient(GMainContext*, RelayIdentity, Duration connectTimeout);
+    ~RelayClient();
+
+    // Starts a call; no handler runs before it returns.
+    std::shared_ptr<RelayCall> call(const std::string& address, RequestHead, RelayCall::Handlers);
+
+    // Sends a TokenQuery or ConfigurationQuery and returns the next message of the peer.
+    void query(const std::string& address, RelayMessage, std::function<void(Result<RelayMessage>)>);
+
+    size_t idleCount() const;
+
+private:
+    using Connected = std::function<void(Result<std::shared_ptr<RelayConnection>>)>;
+
+    void acquire(const std::string& address, Connected);
+    void connect(const std::string& address, Connected);
+    void release(const std::string& address, std::shared_ptr<RelayConnection>);
+    void dropIdle(const std::string& address, const RelayConnection*);
+
+    GMainContext* m_context;
+    RelayIdentity m_identity;
+    Duration m_connectTimeout;
+    std::map<std::string, std::vector<std::shared_ptr<RelayConnection>>> m_idle;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/RelayConnection.cpp
@@ -0,0 +1,208 @@
+#include "RelayConnection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace Gooseberrymill {
+
+RelayConnection::RelayConnection(GMainContext* context, ObjectHandle<GSocket> socket, const RelayIdentity& identity,
+    RelaySide side, std::string peer)
+    : m_context(context)
+    , m_socket(std::move(socket))
+    , m_peer(std::move(peer))
+    , m_codec(identity, side, randomId())
+{
+    g_socket_set_blocking(m_socket.get(), FALSE);
+    g_socket_set_timeout(m_socket.get(), 0);
+    g_socket_set_option(m_socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+}
+
+void RelayConnection::open()
+{
+    auto ec = m_codec.encodeHello(m_output);
+    g_assert(!ec);
+    m_queuedTotal = m_output.size();
+    flush();
+    watchInput();
+}
+
+void RelayConnection::queue(const RelayMessage& message)
+{
+    if (!isOpen())
+        return;
+    size_t before = m_output.size();
+    if (auto ec = m_codec.encode(message, m_output)) {
+        failLater({ ec, "relay.encode", m_peer, "" });
+        return;
+    }
+    m_queuedTotal += m_output.size() - before;
+}
+
+void RelayConnection::flush()
+{
+    while (isOpen() && m_outputAt < m_output.size()) {
+        GError* error = nullptr;
+        gssize n = g_socket_send(
+            m_socket.get(), m_output.data() + m_outputAt, m_output.size() - m_outputAt, nullptr, &error);
+        if (n >= 0) {
+            m_outputAt += static_cast<size_t>(n);
+            m_writtenTotal += static_cast<uint64_t>(n);
+            continue;
+        }
+        if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+            failLater(errorFrom(error, "relay.write", m_peer));
+            return;
+        }
+        g_error_free(error);
+        m_wasFull = m_wasFull || !isWritable();
+        if (m_outputAt > highMark) {
+            m_output.erase(0, m_outputAt);
+            m_outputAt = 0;
+        }
+        if (!m_outputSource) {
+            m_outputSource
+                = watchSocket(m_context, m_socket.get(), G_IO_OUT, [this](GIOCondition) { return onOutput(); });
+        }
+        return;
+    }
+    m_output.clear();
+    m_outputAt = 0;
+}
+
+bool RelayConnection::onOutput()
+{
+    auto self = shared_from_this();
+    flush();
+    if (!isOpen())
+        return false;
+    size_t left = m_output.size() - m_outputAt;
+    if (!left)
+        m_outputSource.reset();
+    if (left <= lowMark && std::exchange(m_wasFull, false)) {
+        auto handlers = m_handlers;
+        if (handlers->writable)
+            handlers->writable();
+    }
+    return left;
+}
+
+void RelayConnection::watchInput()
+{
+    // With no condition the source still reports errors and resets, so a paused connection notices them.
+    auto condition = static_cast<GIOCondition>(m_paused ? 0 : G_IO_IN);
+    m_inputSource = watchSocket(m_context, m_socket.get(), condition, [this](GIOCondition) { return onInput(); });
+}
+
+bool RelayConnection::onInput()
+{
+    constexpr size_t readBytes = 64 << 10;
+    static thread_local std::array<char, readBytes> buffer;
+    auto self = shared_from_this();
+    GError* error = nullptr;
+    if (m_paused) {
+        fail({ ErrorCode::Closed, "relay.read", m_peer, "reset" });
+        return false;
+    }
+    gssize n = g_socket_receive(m_socket.get(), buffer.data(), buffer.size(), nullptr, &error);
+    if (n < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+        g_error_free(error);
+        return true;
+    }
+    if (n <= 0) {
+        fail(n ? errorFrom(error, "relay.read", m_peer) : Error { ErrorCode::Closed, "relay.read", m_peer, "" });
+        return false;
+    }
+    m_codec.feed({ buffer.data(), static_cast<size_t>(n) });
+    deliver();
+    return isOpen() && m_inputSource.get() == g_main_current_source();
+}
+
+void RelayConnection::deliver()
+{
+    if (m_delivering)
+        return;
+    auto self = shared_from_this();
+    m_delivering = true;
+    std::optional<RelayMessage> message;
+    while (isOpen() && !m_paused) {
+        if (auto ec = m_codec.next(message)) {
+            fail({ ec, "relay.decode", m_peer, "" });
+            break;
+        }
+        if (!message)
+            break;
+        auto handlers = m_handlers;
+        if (handlers->message)
+            handlers->message(std::move(*message));
+    }
+    m_delivering = false;
+}
+
+void RelayConnection::pauseReading()
+{
+    if (m_paused || !isOpen())
+        return;
+    m_paused = true;
+    watchInput();
+}
+
+void RelayConnection::resumeReading()
+{
+    if (!m_paused || !isOpen())
+        return;
+    m_paused = false;
+    watchInput();
+    // Frames that are already buffered are delivered from the loop, not from inside the caller.
+    if (m_codec.bufferedBytes() && !m_laterSource) {
+        m_laterSource = callAfter(m_context, {}, [this] {
+            auto self = shared_from_this();
+            m_laterSource.reset();
+            deliver();
+            return false;
+        });
+    }
+}
+
+void RelayConnection::close()
+{
+    m_inputSource.reset();
+    m_outputSource.reset();
+    m_laterSource.reset();
+    if (m_socket)
+        g_socket_close(m_socket.get(), nullptr);
+    m_socket.reset();
+}
+
+void RelayConnection::reset()
+{
+    if (m_socket)
+        closeWithReset(m_socket.get());
+    close();
+}
+
+void RelayConnection::finishWriting()
+{
+    if (m_socket)
+        g_socket_shutdown(m_socket.get(), FALSE, TRUE, nullptr);
+}
+
+void RelayConnection::fail(const Error& error)
+{
+    if (!isOpen())
+        return;
+    close();
+    auto handlers = m_handlers;
+    if (handlers->closed)
+        handlers->closed(error);
+}
+
+void RelayConnection::failLater(Error error)
+{
+    m_laterSource = callAfter(m_context, {}, [this, error = std::move(error)] {
+        auto self = shared_from_this();
+        fail(error);
+        return false;
+    });
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/RelayFrames.cpp
@@ -0,0 +1,362 @@
+#include "RelayFrames.h"
+
+#include <algorithm>
+#include <bit>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <streambuf>
+
+namespace Gooseberrymill {
+
+namespace detail {
+
+// Reads cereal's portable binary format from memory. Unlike cereal's own input archive it checks each size
+// against the bytes that are left before anything is allocated for it.
+class BoundedInputArchive : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision> {
+public:
+    explicit BoundedInputArchive(std::string_view bytes)
+        : InputArchive(this)
+        , m_bytes(bytes)
+    {
+        uint8_t isLittleEndian = 0;
+        read(&isLittleEndian, 1);
+        if (isLittleEndian != 1)
+            throw cereal::Exception("byte order");
+    }
+
+    void read(void* data, size_t size)
+    {
+        if (size > m_bytes.size())
+            throw cereal::Exception("ends early");
+        std::copy_n(m_bytes.data(), size, static_cast<char*>(data));
+        m_bytes.remove_prefix(size);
+    }
+
+    template <typename T> void readNumber(T& value)
+    {
+        std::array<char, sizeof(T)> raw {};
+        read(raw.data(), raw.size());
+        if constexpr (std::endian::native == std::endian::big)
+            std::reverse(raw.begin(), raw.end());
+        value = std::bit_cast<T>(raw);
+    }
+
+    void readFlag(bool& value)
+    {
+        uint8_t raw = 0;
+        read(&raw, 1);
+        if (raw > 1)
+            throw cereal::Exception("flag");
+        value = raw;
+    }
+
+    // Each element takes at least `elementBytes` bytes.
+    void checkCount(uint64_t count, size_t elementBytes) const
+    {
+        if (count > m_bytes.size() / elementBytes)
+            throw cereal::Exception("size");
+    }
+
+    size_t left() const { return m_bytes.size(); }
+
+private:
+    std::string_view m_bytes;
+};
+
+template <typename T>
+requires std::is_arithmetic_v<T>
+void load(BoundedInputArchive& archive, T& value)
+{
+    if constexpr (std::is_same_v<T, bool>)
+        archive.readFlag(value);
+    else
+        archive.readNumber(value);
+}
+
+template <typename T> void serialize(BoundedInputArchive& archive, cereal::NameValuePair<T>& pair)
+{
+    archive(pair.value);
+}
+
+template <typename T> void serialize(BoundedInputArchive& archive, cereal::SizeTag<T>& tag)
+{
+    archive(tag.size);
+    archive.checkCount(tag.size, 1);
+}
+
+template <typename T> void load(BoundedInputArchive& archive, cereal::BinaryData<T>& data)
+{
+    archive.read(data.data, data.size);
+}
+
+// Appends to a string.
+class StringSink : public std::streambuf {
+public:
+    explicit StringSink(std::string& out)
+        : m_out(out)
+    {
+    }
+
+protected:
+    std::streamsize xsputn(const char* data, std::streamsize size) override
+    {
+        m_out.append(data, static_cast<size_t>(size));
+        return size;
+    }
+    int_type overflow(int_type c) override
+    {
+        m_out.push_back(static_cast<char>(c));
+        return c;
+    }
+
+private:
+    std::string& m_out;
+};
+
+} // namespace detail
+
+} // namespace Gooseberrymill
+
+namespace cereal {
+
+namespace traits::detail {
+template <> struct get_output_from_input<Gooseberrymill::detail::BoundedInputArchive> {
+    using type = cereal::PortableBinaryOutputArchive;
+};
+} // namespace traits::detail
+
+// Preferred to cereal's own loader of vectors: an element here is a structure that takes at least one size
+// field on the wire but several times as much in memory.
+template <class T, class A> void load(Gooseberrymill::detail::BoundedInputArchive& archive, std::vector<T, A>& vector)
+{
+    uint64_t count = 0;
+    archive(count);
+    archive.checkCount(count, sizeof(uint64_t));
+    vector.resize(count);
+    for (T& element : vector)
+        archive(element);
+}
+
+} // namespace cereal
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr size_t lengthBytes = 4;
+constexpr size_t framedBytes = frameHeaderBytes - lengthBytes + macBytes; // counted by the length, besides the payload
+constexpr size_t sequenceOffset = lengthBytes + 1;
+constexpr size_t maxHeadBytes = 128 << 10;
+
+constexpr std::array<size_t, std::variant_size_v<RelayMessage>> payloadLimits {
+    1024, // hello
+    maxHeadBytes, // requestHead
+    maxChunkBytes + 64, // bodyChunk
+    64, // bodyEnd
+    maxHeadBytes, // responseHead
+    4096, // refusal
+    64, // cancel
+    1024, // tokenQuery
+    128, // tokenReply
+    256 << 10, // configurationQuery
+    8 << 20, // configurationReply
+};
+
+void putNumber(std::string& out, size_t at, uint64_t value, size_t bytes)
+{
+    for (size_t i = 0; i < bytes; ++i)
+        out[at + i] = static_cast<char>(value >> (8 * (bytes - 1 - i)));
+}
+
+uint64_t getNumber(std::string_view in, size_t at, size_t bytes)
+{
+    uint64_t value = 0;
+    for (size_t i = 0; i < bytes; ++i)
+        value = value << 8 | static_cast<uint8_t>(in[at + i]);
+    return value;
+}
+
+std::span<const uint8_t> asBytes(std::string_view text)
+{
+    return { reinterpret_cast<const uint8_t*>(text.data()), text.size() };
+}
+
+void writePayload(const RelayMessage& message, std::string& out)
+{
+    detail::StringSink sink(out);
+    std::ostream stream(&sink);
+    cereal::PortableBinaryOutputArchive archive(stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+    std::visit([&](const auto& value) { archive(value); }, message);
+}
+
+template <typename Enum> bool isAtMost(Enum value, Enum last) { return value <= last; }
+
+bool isValid(const LoadReport& load) { return isAtMost(load.state, UpstreamState::Gone); }
+bool isValid(const RequestHead& head)
+{
+    return isAtMost(head.operationKind, OperationKind::Token) && head.bodyLength >= -1;
+}
+bool isValid(const ResponseHead& head)
+{
+    return isValid(head.load) && head.bodyLength >= -1 && head.status >= 100 && head.status <= 999;
+}
+bool isValid(const Refusal& refusal)
+{
+    return isValid(refusal.load) && isAtMost(refusal.outcome, Outcome::Ran)
+        && isAtMost(refusal.reason, RefusalReason::Overloaded);
+}
+bool isValid(const BodyChunk& chunk) { return chunk.bytes.size() <= maxChunkBytes; }
+template <typename T> bool isValid(const T& /*message*/) { return true; }
+
+template <size_t index = 0> RelayMessage emptyMessage(size_t wanted)
+{
+    if constexpr (index + 1 < std::variant_size_v<RelayMessage>) {
+        if (wanted != index)
+            return emptyMessage<index + 1>(wanted);
+    }
+    return RelayMessage(std::in_place_index<index>);
+}
+
+std::error_code readPayload(size_t index, std::string_view payload, std::optional<RelayMessage>& message)
+{
+    try {
+        RelayMessage value = emptyMessage(index);
+        detail::BoundedInputArchive archive(payload);
+        std::visit([&](auto& body) { archive(body); }, value);
+        if (archive.left() || !std::visit([](const auto& body) { return isValid(body); }, value))
+            return ErrorCode::Malformed;
+        message = std::move(value);
+        return {};
+    } catch (const std::exception&) {
+        return ErrorCode::Malformed;
+    }
+}
+
+} // namespace
+
+size_t maxPayloadBytes(uint8_t kind)
+{
+    return kind >= 1 && kind <= payloadLimits.size() ? payloadLimits.at(kind - 1) : 0;
+}
+
+RelayCodec::RelayCodec(const RelayIdentity& identity, RelaySide side, const Id128& nonce)
+    : m_own { relayVersion, nonce, identity.node, identity.incarnation }
+    , m_side(side)
+    , m_fleetKey(identity.fleetKey)
+    , m_send { static_cast<uint8_t>(side == RelaySide::Client ? 'c' : 's'), identity.fleetKey, 0 }
+    , m_receive { static_cast<uint8_t>(side == RelaySide::Client ? 's' : 'c'), identity.fleetKey, 0 }
+{
+}
+
+std::error_code RelayCodec::encodeHello(std::string& out)
+{
+    if (m_send.sequence)
+        return ErrorCode::Invalid;
+    auto ec = appendFrame(m_own, out);
+    if (!ec && m_established)
+        m_send.key = sessionKey(m_send.label);
+    return ec;
+}
+
+std::error_code RelayCodec::encode(const RelayMessage& message, std::string& out)
+{
+    if (!m_established || !m_send.sequence || std::holds_alternative<Hello>(message))
+        return ErrorCode::Invalid;
+    return appendFrame(message, out);
+}
+
+std::error_code RelayCodec::appendFrame(const RelayMessage& message, std::string& out)
+{
+    auto kind = static_cast<uint8_t>(message.index() + 1);
+    m_signed.assign(1 + frameHeaderBytes, '\0'); // the direction is authenticated but not sent
+    m_signed[0] = static_cast<char>(m_send.label);
+    writePayload(message, m_signed);
+    size_t payload = m_signed.size() - 1 - frameHeaderBytes;
+    if (payload > maxPayloadBytes(kind))
+        return ErrorCode::TooLarge;
+    putNumber(m_signed, 1, payload + framedBytes, lengthBytes);
+    m_signed[1 + lengthBytes] = static_cast<char>(kind);
+    putNumber(m_signed, 1 + sequenceOffset, m_send.sequence++, sizeof(uint64_t));
+    Mac mac = computeMac(asBytes(m_send.key), asBytes(m_signed));
+    out.append(m_signed, 1);
+    out.append(reinterpret_cast<const char*>(mac.data()), mac.size());
+    return {};
+}
+
+std::error_code RelayCodec::next(std::optional<RelayMessage>& message)
+{
+    message.reset();
+    if (!m_error)
+        m_error = readFrame(message);
+    return m_error;
+}
+
+std::error_code RelayCodec::readFrame(std::optional<RelayMessage>& message)
+{
+    std::string_view input = std::string_view(m_input).substr(m_consumed);
+    if (input.size() <= lengthBytes) {
+        compact();
+        return {};
+    }
+    size_t length = getNumber(input, 0, lengthBytes);
+    auto kind = static_cast<uint8_t>(input[lengthBytes]);
+    size_t limit = maxPayloadBytes(kind);
+    if (!limit || length < framedBytes || (!m_established && kind != 1) || (m_established && kind == 1))
+        return ErrorCode::Malformed;
+    if (length - framedBytes > limit)
+        return ErrorCode::TooLarge;
+    if (input.size() < lengthBytes + length) {
+        compact();
+        return {};
+    }
+    std::string_view frame = input.substr(0, lengthBytes + length - macBytes);
+    Mac mac {};
+    std::copy_n(input.data() + frame.size(), macBytes, mac.begin());
+    m_signed.assign(1, static_cast<char>(m_receive.label));
+    m_signed.append(frame);
+    if (!isEqualMac(mac, computeMac(asBytes(m_receive.key), asBytes(m_signed))))
+        return ErrorCode::NotAuthentic;
+    if (getNumber(frame, sequenceOffset, sizeof(uint64_t)) != m_receive.sequence++)
+        return ErrorCode::NotAuthentic;
+    if (auto ec = readPayload(kind - 1, frame.substr(frameHeaderBytes), message))
+        return ec;
+    m_consumed += lengthBytes + length;
+    return m_established ? std::error_code() : acceptHello(*message);
+}
+
+std::error_code RelayCodec::acceptHello(const RelayMessage& message)
+{
+    m_peer = std::get<Hello>(message);
+    if (m_peer.version + 1 < relayVersion || !m_peer.version)
+        return ErrorCode::Unsupported;
+    m_established = true;
+    m_receive.key = sessionKey(m_receive.label);
+    if (m_send.sequence)
+        m_send.key = sessionKey(m_send.label);
+    return {};
+}
+
+std::string RelayCodec::sessionKey(uint8_t label) const
+{
+    const Id128& client = m_side == RelaySide::Client ? m_own.nonce : m_peer.nonce;
+    const Id128& server = m_side == RelaySide::Client ? m_peer.nonce : m_own.nonce;
+    std::string input = "relay session ";
+    input.push_back(static_cast<char>(label));
+    size_t at = input.size();
+    input.resize(at + 4 * sizeof(uint64_t));
+    for (uint64_t part : { client.high, client.low, server.high, server.low }) {
+        putNumber(input, at, part, sizeof(uint64_t));
+        at += sizeof(uint64_t);
+    }
+    Mac key = computeMac(asBytes(m_fleetKey), asBytes(input));
+    return { reinterpret_cast<const char*>(key.data()), key.size() };
+}
+
+void RelayCodec::compact()
+{
+    m_input.erase(0, m_consumed);
+    m_consumed = 0;
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/RelayFrames.h
@@ -0,0 +1,97 @@
+// Frames between nodes over TCP: encoding, bounds and authentication. No I/O.
+//
+// A frame is: 4-byte length of the rest (big endian), 1-byte kind, 8-byte sequence (big endian), payload
+// (cereal portable binary), 16-byte truncated HMAC-SHA-256. The first frame of each side is a Hello,
+// authenticated under the fleet key. All later frames are authenticated under a key derived from both
+// nonces and the direction, so a frame is valid in one connection, one direction and one position only.
+#pragma once
+
+#include "core/RelayMessages.h"
+#include "FleetAuth.h"
+
+#include <variant>
+
+namespace Gooseberrymill {
+
+constexpr uint16_t relayVersion = 1; // of the messages; a peer one version behind is accepted
+
+// First frame of each side.
+struct Hello {
+    uint16_t version = relayVersion;
+    Id128 nonce; // random, new for each connection
+    std::string node;
+    Id128 incarnation;
+    template <class Archive> void serialize(Archive& archive) { archive(version, nonce, node, incarnation); }
+};
+
+// The caller of a request no longer waits.
+struct Cancel {
+    Id128 requestId;
+    template <class Archive> void serialize(Archive& archive) { archive(requestId); }
+};
+
+// The kind of a frame is the index of its message plus one.
+using RelayMessage = std::variant<Hello, RequestHead, BodyChunk, BodyEnd, ResponseHead, Refusal, Cancel, TokenQuery,
+    TokenReply, ConfigurationQuery, ConfigurationReply>;
+
+enum class RelaySide : uint8_t { Client, Server };
+
+// Who a node is towards its peers.
+struct RelayIdentity {
+    std::string fleetKey;
+    std::string node;
+    Id128 incarnation;
+};
+
+constexpr size_t frameHeaderBytes = 4 + 1 + 8;
+
+// Encoder and decoder of one side of one connection. After an error the connection must be closed.
+class RelayCodec {
+public:
+    RelayCodec(const RelayIdentity&, RelaySide, const Id128& nonce);
+
+    // Appends a frame to `out`. The Hello is the first frame; nothing else can be encoded before the peer's
+    // Hello was decoded. Fails with TooLarge or Invalid and then leaves `out` as it was.
+    std::error_code encodeHello(std::string& out);
+    std::error_code encode(const RelayMessage&, std::string& out);
+
+    // Takes received bytes; then call next() until it returns no message.
+    void feed(std::string_view bytes) { m_input.append(bytes); }
+
+    // Next whole message, if there is one. Errors: Malformed, TooLarge, NotAuthentic, Unsupported; they are final.
+    std::error_code next(std::optional<RelayMessage>& message);
+
+    bool isEstablished() const { return m_established; }
+    const Hello& peer() const { return m_peer; }
+    size_t bufferedBytes() const { return m_input.size() - m_consumed; }
+
+private:
+    struct Direction {
+        uint8_t label = 0;
+        std::string key;
+        uint64_t sequence = 0;
+    };
+
+    std::error_code appendFrame(const RelayMessage&, std::string& out);
+    std::error_code readFrame(std::optional<RelayMessage>& message);
+    std::error_code acceptHello(const RelayMessage& message);
+    std::string sessionKey(uint8_t label) const;
+    void compact();
+
+    Hello m_own;
+    Hello m_peer;
+    RelaySide m_side;
+    std::string m_fleetKey;
+    Direction m_send;
+    Direction m_receive;
+    bool m_established = false;
+    std::error_code m_error;
+    std::string m_input;
+    size_t m_consumed = 0;
+    std::string m_signed; // reused buffer of authenticated bytes
+};
+
+// Largest payload of a kind of frame; zero for an unknown kind.
+size_t maxPayloadBytes(uint8_t kind);
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/RelayServer.cpp
@@ -0,0 +1,287 @@
+#include "RelayServer.h"
+
+#include "Log.h"
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr Duration acceptRetryDelay = 100ms; // after accept failed, for example for want of descriptors
+
+std::string addressOf(GSocket* socket)
+{
+    ObjectHandle<GSocketAddress> address(g_socket_get_remote_address(socket, nullptr));
+    if (!address)
+        return "";
+    char* text = g_socket_connectable_to_string(G_SOCKET_CONNECTABLE(address.get()));
+    std::string result = text;
+    g_free(text);
+    return result;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] RelayExchange
+//-----------------------------------------------------------------------------
+
+RelayExchange::RelayExchange(std::shared_ptr<RelayConnection> connection, RequestHead head)
+    : m_connection(std::move(connection))
+    , m_head(std::move(head))
+{
+}
+
+void RelayExchange::sendHead(ResponseHead head)
+{
+    head.requestId = m_head.requestId;
+    if (isOpen())
+        m_connection->queue(std::move(head));
+}
+
+void RelayExchange::sendChunk(std::string bytes)
+{
+    if (!isOpen())
+        return;
+    if (bytes.size() <= maxChunkBytes) {
+        m_connection->queue(BodyChunk { std::move(bytes) });
+    } else {
+        for (size_t at = 0; at < bytes.size(); at += maxChunkBytes)
+            m_connection->queue(BodyChunk { bytes.substr(at, maxChunkBytes) });
+    }
+    m_connection->flush();
+}
+
+void RelayExchange::sendEnd()
+{
+    if (!isOpen())
+        return;
+    m_connection->send(BodyEnd {});
+    answered();
+}
+
+void RelayExchange::refuse(Refusal refusal)
+{
+    refusal.requestId = m_head.requestId;
+    if (!isOpen())
+        return;
+    m_connection->send(std::move(refusal));
+    answered();
+}
+
+void RelayExchange::abort()
+{
+    m_answered = true;
+    m_connection->reset();
+    if (m_onAnswered)
+        m_onAnswered();
+}
+
+void RelayExchange::answered()
+{
+    m_answered = true;
+    m_connection->resumeReading();
+    if (auto done = m_onAnswered)
+        done();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] RelayServer
+//-----------------------------------------------------------------------------
+
+RelayServer::RelayServer(GMainContext* context, RelayIdentity identity, Handlers handlers)
+    : m_context(context)
+    , m_identity(std::move(identity))
+    , m_handlers(std::move(handlers))
+{
+}
+
+RelayServer::~RelayServer()
+{
+    auto peers = std::move(m_peers);
+    for (const auto& peer : peers) {
+        peer->connection->setHandlers({});
+        peer->connection->close();
+        if (peer->exchange) {
+            peer->exchange->setHandlers({});
+            peer->exchange->m_onAnswered = nullptr;
+        }
+    }
+}
+
+Result<uint16_t> RelayServer::listen(const ListenAddress& address)
+{
+    auto socket = listenSocket(address.host, address.port, false);
+    if (!socket)
+        return socket.error();
+    m_socket = std::move(socket).value();
+    m_acceptSource = watchSocket(m_context, m_socket.get(), G_IO_IN, [this](GIOCondition) { return onAccept(); });
+    return localPort(m_socket.get());
+}
+
+bool RelayServer::onAccept()
+{
+    GError* error = nullptr;
+    ObjectHandle<GSocket> socket(g_socket_accept(m_socket.get(), nullptr, &error));
+    if (socket) {
+        addPeer(std::move(socket));
+        return true;
+    }
+    if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+        g_error_free(error);
+        return true;
+    }
+    log(LogLevel::Warning, "relay.accept-failed", errorFrom(error, "relay.accept", ""));
+    m_retrySource = callAfter(m_context, acceptRetryDelay, [this] {
+        m_acceptSource = watchSocket(m_context, m_socket.get(), G_IO_IN, [this](GIOCondition) { return onAccept(); });
+        return false;
+    });
+    return false;
+}
+
+void RelayServer::addPeer(ObjectHandle<GSocket> socket)
+{
+    auto peer = std::make_shared<Peer>();
+    std::string address = addressOf(socket.get());
+    peer->connection = std::make_shared<RelayConnection>(
+        m_context, std::move(socket), m_identity, RelaySide::Server, std::move(address));
+    std::weak_ptr<Peer> weak = peer;
+    peer->connection->setHandlers({
+        [this, weak](RelayMessage&& message) {
+            if (auto self = weak.lock())
+                onMessage(self, std::move(message));
+        },
+        [this, weak](const Error& error) {
+            if (error.code != ErrorCode::Closed && error.code != ErrorCode::Unavailable)
+                log(LogLevel::Warning, "relay.connection-failed", error);
+            if (auto self = weak.lock())
+                onClosed(self);
+        },
+        [weak] {
+            auto self = weak.lock();
+            if (auto exchange = self ? self->exchange : nullptr; exchange && !exchange->m_answered) {
+                if (auto handlers = exchange->m_handlers; handlers->writable)
+                    handlers->writable();
+            }
+        },
+    });
+    m_peers.insert(peer);
+    peer->connection->open();
+}
+
+void RelayServer::onMessage(const std::shared_ptr<Peer>& peer, RelayMessage&& message)
+{
+    if (std::holds_alternative<Hello>(message)) {
+        if (m_closing)
+            sayClosing(*peer);
+    } else if (auto* head = std::get_if<RequestHead>(&message); head && !peer->exchange)
+        onRequest(peer, std::move(*head));
+    else if (peer->exchange)
+        onBody(peer, std::move(message));
+    else
+        onQuery(peer, std::move(message));
+}
+
+void RelayServer::onRequest(const std::shared_ptr<Peer>& peer, RequestHead&& head)
+{
+    if (peer->closing)
+        return; // the closing notice on its way says that this was not run
+    peer->exchange = std::make_shared<RelayExchange>(peer->connection, std::move(head));
+    std::weak_ptr<Peer> weak = peer;
+    peer->exchange->m_onAnswered = [this, weak] {
+        if (auto self = weak.lock())
+            endExchangeIfDone(self);
+    };
+    auto exchange = peer->exchange;
+    m_handlers.request(std::move(exchange));
+}
+
+void RelayServer::onBody(const std::shared_ptr<Peer>& peer, RelayMessage&& message)
+{
+    auto exchange = peer->exchange;
+    auto handlers = exchange->m_handlers;
+    bool wanted = !exchange->m_answered && !exchange->m_bodyEnded;
+    if (auto* chunk = std::get_if<BodyChunk>(&message); chunk && !exchange->m_bodyEnded) {
+        if (wanted && handlers->chunk)
+            handlers->chunk(std::move(chunk->bytes));
+    } else if (std::holds_alternative<BodyEnd>(message) && !exchange->m_bodyEnded) {
+        exchange->m_bodyEnded = true;
+        if (wanted && handlers->end)
+            handlers->end();
+        endExchangeIfDone(peer);
+    } else {
+        peer->connection->reset();
+        onClosed(peer);
+    }
+}
+
+void RelayServer::onQuery(const std::shared_ptr<Peer>& peer, RelayMessage&& message)
+{
+    std::weak_ptr<RelayConnection> weak = peer->connection;
+    auto reply = [weak](const RelayMessage& answer) {
+        if (auto connection = weak.lock())
+            connection->send(answer);
+    };
+    if (auto* token = std::get_if<TokenQuery>(&message); token && m_handlers.token)
+        m_handlers.token(std::move(*token), reply);
+    else if (auto* query = std::get_if<ConfigurationQuery>(&message); query && m_handlers.configuration)
+        m_handlers.configuration(std::move(*query), reply);
+    else
+        drop(peer);
+}
+
+void RelayServer::onClosed(const std::shared_ptr<Peer>& peer)
+{
+    auto held = keepAlive(peer);
+    auto exchange = std::exchange(held->exchange, nullptr);
+    drop(held);
+    if (!exchange || exchange->m_answered)
+        return;
+    if (auto handlers = exchange->m_handlers; handlers->cancelled)
+        handlers->cancelled();
+}
+
+void RelayServer::endExchangeIfDone(const std::shared_ptr<Peer>& peer)
+{
+    if (!peer->connection->isOpen()) {
+        peer->exchange.reset();
+        drop(peer);
+        return;
+    }
+    if (!peer->exchange || !peer->exchange->m_answered || !peer->exchange->m_bodyEnded)
+        return;
+    peer->exchange.reset();
+    if (m_closing)
+        sayClosing(*peer);
+}
+
+void RelayServer::close()
+{
+    m_closing = true;
+    m_acceptSource.reset();
+    m_retrySource.reset();
+    m_socket.reset();
+    for (const auto& peer : m_peers) {
+        if (!peer->exchange && peer->connection->isEstablished())
+            sayClosing(*peer);
+    }
+}
+
+void RelayServer::sayClosing(Peer& peer)
+{
+    if (std::exchange(peer.closing, true))
+        return;
+    Refusal notice;
+    notice.reason = RefusalReason::Draining;
+    peer.connection->send(notice);
+    peer.connection->finishWriting();
+}
+
+void RelayServer::drop(const std::shared_ptr<Peer>& peer)
+{
+    auto held = keepAlive(peer);
+    m_peers.erase(held);
+    held->connection->setHandlers({});
+    held->connection->close();
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/RelayServer.h
@@ -0,0 +1,98 @@
+// Server side of the relay: accepts connections of other nodes and hands their requests to the executor.
+#pragma once
+
+#include "RelayConnection.h"
+#include "Settings.h"
+
+#include <set>
+
+namespace Gooseberrymill {
+
+// One request of an entry, seen from the executor.
+class RelayExchange {
+public:
+    struct Handlers {
+        std::function<void(std::string&&)> chunk;
+        std::function<void()> end; // the request body is complete
+        std::function<void()> cancelled; // the entry closed before the response was complete
+        std::function<void()> writable;
+    };
+
+    RelayExchange(std::shared_ptr<RelayConnection>, RequestHead);
+
+    const RequestHead& head() const { return m_head; }
+    const std::string& peer() const { return m_connection->peer(); }
+    void setHandlers(Handlers handlers) { m_handlers = std::make_shared<Handlers>(std::move(handlers)); }
+
+    bool isOpen() const { return !m_answered && m_connection->isOpen(); }
+    bool isWritable() const { return m_connection->isWritable(); }
+    void pauseBody() { m_connection->pauseReading(); }
+    void resumeBody() { m_connection->resumeReading(); }
+
+    void sendHead(ResponseHead);
+    void sendChunk(std::string bytes); // split into frames of at most maxChunkBytes
+    void sendEnd();
+    void refuse(Refusal); // instead of a head
+    void abort(); // closes the connection: the response was cut
+
+private:
+    friend class RelayServer;
+
+    void answered();
+
+    std::shared_ptr<RelayConnection> m_connection;
+    RequestHead m_head;
+    std::shared_ptr<Handlers> m_handlers = std::make_shared<Handlers>();
+    std::function<void()> m_onAnswered;
+    bool m_bodyEnded = false;
+    bool m_answered = false;
+};
+
+class RelayServer {
+public:
+    template <typename Query, typename Reply> using Answer = std::function<void(Query&&, std::function<void(Reply)>)>;
+
+    struct Handlers {
+        std::function<void(std::shared_ptr<RelayExchange>)> request;
+        Answer<TokenQuery, TokenReply> token;
+        Answer<ConfigurationQuery, ConfigurationReply> configuration;
+    };
+
+    RelayServer(GMainContext*, RelayIdentity, Handlers);
+    ~RelayServer();
+
+    Result<uint16_t> listen(const ListenAddress&); // the port taken
+    size_t connectionCount() const { return m_peers.size(); }
+
+    // Tells the peers that no more requests are taken. Idle connections end at once, others with their request.
+    void close();
+
+private:
+    struct Peer {
+        std::shared_ptr<RelayConnection> connection;
+        std::shared_ptr<RelayExchange> exchange;
+        bool closing = false;
+    };
+
+    bool onAccept();
+    void addPeer(ObjectHandle<GSocket>);
+    void onMessage(const std::shared_ptr<Peer>&, RelayMessage&&);
+    void onRequest(const std::shared_ptr<Peer>&, RequestHead&&);
+    void onBody(const std::shared_ptr<Peer>&, RelayMessage&&);
+    void onQuery(const std::shared_ptr<Peer>&, RelayMessage&&);
+    void onClosed(const std::shared_ptr<Peer>&);
+    void endExchangeIfDone(const std::shared_ptr<Peer>&);
+    void sayClosing(Peer&);
+    void drop(const std::shared_ptr<Peer>&);
+
+    GMainContext* m_context;
+    RelayIdentity m_identity;
+    Handlers m_handlers;
+    ObjectHandle<GSocket> m_socket;
+    SourceHandle m_acceptSource;
+    SourceHandle m_retrySource;
+    std::set<std::shared_ptr<Peer>> m_peers;
+    bool m_closing = false;
+};
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/UpstreamClient.cpp
@@ -0,0 +1,254 @@
+#include "UpstreamClient.h"
+
+#include <fmt/format.h>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr auto uriFlags = static_cast<GUriFlags>(SOUP_HTTP_URI_FLAGS);
+constexpr size_t readBytes = 32 << 10;
+constexpr uint32_t spareConnections = 8; // for cancelled requests whose connections are still closing
+
+// A body whose end is only marked by the end of the connection cannot be told from a truncated one.
+bool hasVerifiableEnd(SoupMessage* message)
+{
+    guint status = soup_message_get_status(message);
+    if (soup_message_get_method(message) == SOUP_METHOD_HEAD || status == SOUP_STATUS_NO_CONTENT
+        || status == SOUP_STATUS_NOT_MODIFIED)
+        return true;
+    return soup_message_headers_get_encoding(soup_message_get_response_headers(message)) != SOUP_ENCODING_EOF;
+}
+
+int64_t declaredLength(SoupMessage* message)
+{
+    auto* headers = soup_message_get_response_headers(message);
+    if (const char* text = soup_message_headers_get_one(headers, "Content-Length"))
+        return static_cast<int64_t>(g_ascii_strtoull(text, nullptr, 10));
+    guint status = soup_message_get_status(message);
+    return status == SOUP_STATUS_NO_CONTENT || status == SOUP_STATUS_NOT_MODIFIED ? 0 : -1;
+}
+
+} // namespace
+
+void disableGlibHelpers()
+{
+    g_setenv("GIO_USE_VFS", "local", TRUE);
+    g_setenv("GIO_USE_PROXY_RESOLVER", "dummy", TRUE);
+    g_setenv("GSETTINGS_BACKEND", "memory", TRUE);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] UpstreamCall
+//-----------------------------------------------------------------------------
+
+void UpstreamCall::onStarting(SoupMessage* /*message*/, gpointer data)
+{
+    auto* self = static_cast<UpstreamCall*>(data);
+    if (!std::exchange(self->m_started, true))
+        self->m_startedAt = currentInstant();
+    self->m_connectTimer.reset();
+}
+
+void UpstreamCall::setBody(UpstreamRequest&& request)
+{
+    if (!request.bodyLength)
+        return;
+    if (!request.body) {
+        soup_message_set_request_body(
+            m_message.get(), nullptr, m_body.stream(), static_cast<gssize>(request.bodyLength));
+        return;
+    }
+    auto* text = new std::string(std::move(*request.body));
+    BytesHandle bytes(g_bytes_new_with_free_func(
+        text->data(), text->size(), [](gpointer data) { delete static_cast<std::string*>(data); }, text));
+    soup_message_set_request_body_from_bytes(m_message.get(), nullptr, bytes.get());
+}
+
+void UpstreamCall::send(
+    GMainContext* context, SoupSession* session, GUri* base, UpstreamRequest&& request, Duration connectTimeout)
+{
+    m_peer = fmt::format("{}:{}", g_uri_get_host(base), g_uri_get_port(base));
+    std::string text = fmt::format("http://{}{}", m_peer, request.target);
+    UriHandle uri(g_uri_parse(text.c_str(), uriFlags, nullptr));
+    if (!uri) {
+        m_connectTimer = callAfter(context, {}, [this] {
+            auto self = shared_from_this();
+            fail({ { ErrorCode::Malformed, "upstream.target", m_peer, "" }, RefusalReason::BadRequest, false });
+            return false;
+        });
+        return;
+    }
+    m_message.reset(soup_message_new_from_uri(request.method.c_str(), uri.get()));
+    bool hasBody = request.bodyLength != 0;
+    bool fresh = !request.repeatable || hasBody; // a streamed body cannot be sent twice
+    soup_message_set_flags(m_message.get(),
+        static_cast<SoupMessageFlags>(
+            SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE | (fresh ? SOUP_MESSAGE_NEW_CONNECTION : 0)));
+    auto* headers = soup_message_get_request_headers(m_message.get());
+    for (const Header& header : request.headers)
+        soup_message_headers_append(headers, header.name.c_str(), header.value.c_str());
+    auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(request.timeLeft).count();
+    soup_message_headers_replace(headers, HeaderName::deadline, std::to_string(millis).c_str());
+    setBody(std::move(request));
+    g_signal_connect(m_message.get(), "starting", G_CALLBACK(onStarting), this);
+    m_connectTimer = callAfter(context, connectTimeout, [this] {
+        m_connectTimedOut = true;
+        g_cancellable_cancel(m_cancellable.get());
+        return false;
+    });
+    m_body.setDrained([weak = weak_from_this()] {
+        if (auto self = weak.lock(); self && !self->m_done)
+            self->m_handlers->bodyWanted();
+    });
+    auto sent = [self = shared_from_this()](GObject* source, GAsyncResult* result) {
+        GError* error = nullptr;
+        auto* stream = soup_session_send_finish(SOUP_SESSION(source), result, &error);
+        self->onSent(stream, error);
+    };
+    soup_session_send_async(
+        session, m_message.get(), G_PRIORITY_DEFAULT, m_cancellable.get(), onAsyncDone, asyncData(std::move(sent)));
+}
+
+void UpstreamCall::onSent(GInputStream* stream, GError* error)
+{
+    m_input.reset(stream);
+    if (m_done) {
+        g_clear_error(&error);
+        release();
+        return;
+    }
+    if (!stream) {
+        fail(error, "upstream.send");
+        return;
+    }
+    m_gotHead = true;
+    if (!hasVerifiableEnd(m_message.get())) {
+        fail({ { ErrorCode::Invalid, "upstream.head", m_peer, "the response has no length" },
+            RefusalReason::UpstreamInvalid, true });
+        return;
+    }
+    ResponseHead head;
+    head.status = static_cast<uint16_t>(soup_message_get_status(m_message.get()));
+    head.headers = endToEndHeaders(soup_message_get_response_headers(m_message.get()));
+    head.bodyLength = declaredLength(m_message.get());
+    auto handlers = m_handlers;
+    handlers->head(std::move(head));
+}
+
+void UpstreamCall::readMore()
+{
+    if (m_done || !m_input || std::exchange(m_reading, true))
+        return;
+    m_buffer.resize(readBytes);
+    auto done = [self = shared_from_this()](GObject* source, GAsyncResult* result) {
+        GError* error = nullptr;
+        gssize n = g_input_stream_read_finish(G_INPUT_STREAM(source), result, &error);
+        self->onRead(n, error);
+    };
+    g_input_stream_read_async(m_input.get(), m_buffer.data(), m_buffer.size(), G_PRIORITY_DEFAULT, m_cancellable.get(),
+        onAsyncDone, asyncData(std::move(done)));
+}
+
+void UpstreamCall::onRead(gssize n, GError* error)
+{
+    m_reading = false;
+    if (m_done) {
+        g_clear_error(&error);
+        release();
+        return;
+    }
+    if (n < 0) {
+        fail(error, "upstream.read");
+        return;
+    }
+    auto handlers = m_handlers;
+    if (n > 0) {
+        m_buffer.resize(static_cast<size_t>(n));
+        handlers->chunk(std::exchange(m_buffer, {}));
+        return;
+    }
+    m_done = true;
+    release();
+    handlers->end();
+}
+
+void UpstreamCall::cancel()
+{
+    if (std::exchange(m_done, true))
+        return;
+    auto self = shared_from_this();
+    m_connectTimer.reset();
+    m_body.abort();
+    g_cancellable_cancel(m_cancellable.get());
+    if (m_input && !g_input_stream_has_pending(m_input.get()))
+        release();
+}
+
+Duration UpstreamCall::serviceTime() const { return m_started ? currentInstant() - m_startedAt : Duration {}; }
+
+RefusalReason UpstreamCall::reasonOf(const GError* error) const
+{
+    if (!m_started)
+        return RefusalReason::UpstreamUnreachable;
+    if (m_gotHead)
+        return RefusalReason::UpstreamTruncated;
+    bool malformed = error && error->domain == SOUP_SESSION_ERROR && error->code == SOUP_SESSION_ERROR_PARSING;
+    return malformed ? RefusalReason::UpstreamInvalid : RefusalReason::UpstreamCrashed;
+}
+
+void UpstreamCall::fail(GError* error, const char* step)
+{
+    RefusalReason reason = reasonOf(error);
+    Error detail = errorFrom(error, step, m_peer);
+    if (m_connectTimedOut)
+        detail.code = ErrorCode::Timeout;
+    fail({ std::move(detail), reason, m_started });
+}
+
+void UpstreamCall::fail(UpstreamFailure&& failure)
+{
+    if (std::exchange(m_done, true))
+        return;
+    auto handlers = m_handlers;
+    m_body.abort();
+    g_cancellable_cancel(m_cancellable.get());
+    release();
+    handlers->failed(std::move(failure));
+}
+
+void UpstreamCall::release()
+{
+    m_connectTimer.reset();
+    m_input.reset();
+    if (m_message)
+        g_signal_handlers_disconnect_by_data(m_message.get(), this);
+    m_message.reset();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] UpstreamClient
+//-----------------------------------------------------------------------------
+
+UpstreamClient::UpstreamClient(
+    GMainContext* context, const std::string& address, uint32_t slots, Duration connectTimeout)
+    : m_context(context)
+    , m_connectTimeout(connectTimeout)
+    , m_base(g_uri_parse(("http://" + address + "/").c_str(), uriFlags, nullptr))
+{
+    int connections = static_cast<int>(2 * slots + spareConnections);
+    m_session.reset(soup_session_new_with_options("max-conns", connections, "max-conns-per-host", connections,
+        "timeout", 0U, "idle-timeout", 0U, "proxy-resolver", nullptr, nullptr));
+    for (GType feature : { SOUP_TYPE_AUTH_MANAGER, SOUP_TYPE_CONTENT_DECODER, SOUP_TYPE_COOKIE_JAR })
+        soup_session_remove_feature_by_type(m_session.get(), feature);
+}
+
+std::shared_ptr<UpstreamCall> UpstreamClient::start(UpstreamRequest request, UpstreamCall::Handlers handlers)
+{
+    auto call = std::make_shared<UpstreamCall>();
+    call->m_handlers = std::make_shared<UpstreamCall::Handlers>(std::move(handlers));
+    call->send(m_context, m_session.get(), m_base.get(), std::move(request), m_connectTimeout);
+    return call;
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/UpstreamClient.h
@@ -0,0 +1,94 @@
+// HTTP client of one local upstream (libsoup).
+#pragma once
+
+#include "BodyStream.h"
+#include "GlibCalls.h"
+#include "HttpHeaders.h"
+#include "Task.h"
+
+namespace Gooseberrymill {
+
+struct UpstreamRequest {
+    Id128 requestId;
+    std::string method;
+    std::string target;
+    std::vector<Header> headers;
+    bool repeatable = false; // otherwise it is sent on a connection of its own, which libsoup cannot retry
+    int64_t bodyLength = 0; // -1: unknown, sent in chunks
+    std::optional<std::string> body; // whole body; empty optional: pushed while it arrives
+    Duration timeLeft {};
+};
+
+struct UpstreamFailure {
+    Error error;
+    RefusalReason reason = RefusalReason::UpstreamUnreachable;
+    bool started = false; // a byte of the request may have reached the upstream
+};
+
+// One request at the upstream. Handlers run on the task of the client, never after cancel().
+class UpstreamCall : public std::enable_shared_from_this<UpstreamCall> {
+public:
+    struct Handlers {
+        std::function<void(ResponseHead&&)> head; // request id and load are left empty
+        std::function<void(std::string&&)> chunk; // after it, readMore() asks for the next
+        std::function<void()> end;
+        std::function<void(UpstreamFailure&&)> failed;
+        std::function<void()> bodyWanted; // the buffer of the request body fell below the low mark
+    };
+
+    void pushBody(std::string bytes) { m_body.push(std::move(bytes)); }
+    void endBody() { m_body.finish(); }
+    bool wantsBody() const { return m_body.bufferedBytes() < bodyBufferBytes; }
+    void readMore(); // does nothing while a read is pending
+    void cancel();
+    bool isStarted() const { return m_started; }
+    Duration serviceTime() const; // since the request was started
+
+private:
+    friend class UpstreamClient;
+    static constexpr size_t bodyBufferBytes = 128 << 10;
+
+    void send(GMainContext*, SoupSession*, GUri* base, UpstreamRequest&&, Duration connectTimeout);
+    void setBody(UpstreamRequest&&);
+    void onSent(GInputStream*, GError*);
+    void onRead(gssize n, GError*);
+    void fail(GError*, const char* step);
+    void fail(UpstreamFailure&&);
+    void release();
+    RefusalReason reasonOf(const GError*) const;
+    static void onStarting(SoupMessage*, gpointer);
+
+    std::shared_ptr<Handlers> m_handlers;
+    ObjectHandle<SoupMessage> m_message;
+    ObjectHandle<GInputStream> m_input;
+    ObjectHandle<GCancellable> m_cancellable { g_cancellable_new() };
+    SourceHandle m_connectTimer;
+    BodyStream m_body;
+    std::string m_peer;
+    std::string m_buffer;
+    Instant m_startedAt {};
+    bool m_started = false;
+    bool m_gotHead = false;
+    bool m_reading = false;
+    bool m_connectTimedOut = false;
+    bool m_done = false;
+};
+
+class UpstreamClient {
+public:
+    // `slots`: requests that run at once.
+    UpstreamClient(GMainContext*, const std::string& address, uint32_t slots, Duration connectTimeout);
+
+    std::shared_ptr<UpstreamCall> start(UpstreamRequest, UpstreamCall::Handlers);
+
+private:
+    GMainContext* m_context;
+    Duration m_connectTimeout;
+    UriHandle m_base;
+    ObjectHandle<SoupSession> m_session;
+};
+
+// Keeps GLib from using helper processes and libraries of a desktop. Call it first in main().
+void disableGlibHelpers();
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/tests/UpstreamStandIn.cpp
@@ -0,0 +1,12 @@
+// The upstream of UpstreamStandIn.h as a program: UpstreamStandIn [PORT]
+#include "UpstreamStandIn.h"
+
+int main(int argc, char** argv)
+{
+    Gooseberrymill::disableGlibHelpers();
+    Gooseberrymill::Testing::UpstreamStandIn upstream(argc > 1 ? static_cast<uint16_t>(std::stoi(argv[1])) : 0);
+    fmt::print("{}\n", upstream.address());
+    std::fflush(stdout);
+    Gooseberrymill::Task wait("main", Gooseberrymill::Task::Thread::Current);
+    wait.run();
+}
--- /dev/null
+++ b/tests/UpstreamStandIn.h
@@ -0,0 +1,286 @@
+// An HTTP upstream for tests. Faults are chosen by headers of the request:
+//   Stand-In-Fault: slow | status | cut | unfinished | close | shed | endless | hold
+//   Stand-In-Delay-Ms (slow), Stand-In-Status (status), Stand-In-Size (bytes of the response body)
+// Without a size the response names the method, the target and the digest of the request body.
+#pragma once
+
+#include "node/GlibCalls.h"
+#include "node/HttpHeaders.h"
+#include "node/Node.h"
+
+#include <condition_variable>
+#include <fmt/format.h>
+#include <map>
+
+namespace Gooseberrymill::Testing {
+
+// Position-dependent content, so that lost, repeated or crossed parts change the digest.
+inline char patternByte(uint64_t position) { return static_cast<char>((position * 2654435761U) >> 24); }
+
+inline std::string patternBytes(uint64_t position, size_t size)
+{
+    std::string bytes(size, '\0');
+    for (size_t i = 0; i < size; ++i)
+        bytes[i] = patternByte(position + i);
+    return bytes;
+}
+
+// FNV-1a; enough to tell contents apart in a test.
+struct Digest {
+    uint64_t value = 0xcbf29ce484222325;
+    uint64_t bytes = 0;
+    void add(std::string_view data)
+    {
+        for (char c : data)
+            value = (value ^ static_cast<uint8_t>(c)) * 0x100000001b3;
+        bytes += data.size();
+    }
+    std::string text() const { return fmt::format("{}:{:016x}", bytes, value); }
+};
+
+class UpstreamStandIn {
+public:
+    UpstreamStandIn(uint16_t port = 0)
+        : m_task("upstream", Task::Thread::New)
+    {
+        m_task.start();
+        runOn(m_task, [&] { listen(port); });
+    }
+
+    ~UpstreamStandIn()
+    {
+        runOn(m_task, [&] { stopListening(); });
+    }
+
+    std::string address() const { return fmt::format("127.0.0.1:{}", m_port); }
+    uint16_t port() const { return m_port; }
+
+    // Requests that reached the upstream for a target, whatever became of them.
+    size_t count(const std::string& target)
+    {
+        std::lock_guard lock(m_mutex);
+        return m_counts[target];
+    }
+
+    bool waitForCount(const std::string& target, size_t n, std::chrono::seconds limit = std::chrono::seconds(20))
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, limit, [&] { return m_counts[target] >= n; });
+    }
+
+    // Names and values of the last request's headers.
+    std::vector<Header> lastHeaders()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_lastHeaders;
+    }
+
+    // Answers all held requests ("hold").
+    void releaseHeld()
+    {
+        m_task.post([this] {
+            for (auto& exchange : std::exchange(m_held, {}))
+                respond(*exchange);
+        });
+    }
+
+    // Closes the listener and every connection at once, like a process that ends.
+    void crash()
+    {
+        runOn(m_task, [&] { stopListening(); });
+    }
+
+private:
+    struct Exchange {
+        UpstreamStandIn* upstream = nullptr;
+        ObjectHandle<SoupServerMessage> message;
+        std::string target;
+        Digest body;
+        uint64_t size = 0;
+        uint64_t sent = 0;
+        SourceHandle timer;
+    };
+
+    void listen(uint16_t port)
+    {
+        auto socket = listenSocket("127.0.0.1", port, false);
+        g_assert(socket.has_value());
+        m_port = localPort(socket.value().get());
+        m_server.reset(soup_server_new(nullptr, nullptr));
+        soup_server_add_early_handler(m_server.get(), "/", onEarly, this, nullptr);
+        soup_server_add_handler(m_server.get(), "/", onRequest, this, nullptr);
+        g_assert(soup_server_listen_socket(
+            m_server.get(), socket.value().get(), static_cast<SoupServerListenOptions>(0), nullptr));
+    }
+
+    void stopListening()
+    {
+        m_held.clear();
+        if (m_server)
+            soup_server_disconnect(m_server.get());
+        m_server.reset();
+        m_exchanges.clear();
+    }
+
+    static std::string header(SoupServerMessage* message, const char* name)
+    {
+        const char* value = soup_message_headers_get_one(soup_server_message_get_request_headers(message), name);
+        return value ? value : "";
+    }
+
+    static void onEarly(
+        SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/, GHashTable* /*query*/, gpointer data)
+    {
+        auto* self = static_cast<UpstreamStandIn*>(data);
+        auto exchange = std::make_shared<Exchange>();
+        exchange->upstream = self;
+        exchange->message = shareObject(message);
+        GUri* uri = soup_server_message_get_uri(message);
+        exchange->target = g_uri_get_path(uri);
+        if (const char* query = g_uri_get_query(uri))
+            exchange->target += std::string("?") + query;
+        self->m_exchanges[message] = exchange;
+        soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+        soup_message_body_set_accumulate(soup_server_message_get_response_body(message), FALSE);
+        g_signal_connect(message, "got-chunk", G_CALLBACK(onChunk), exchange.get());
+        g_signal_connect(message, "wrote-chunk", G_CALLBACK(onWrote), exchange.get());
+        g_signal_connect(message, "finished", G_CALLBACK(onFinished), exchange.get());
+        std::lock_guard lock(self->m_mutex);
+        ++self->m_counts[exchange->target];
+        self->m_lastHeaders.clear();
+        soup_message_headers_foreach(
+            soup_server_message_get_request_headers(message),
+            [](const char* name, const char* value, gpointer list) {
+                static_cast<std::vector<Header>*>(list)->push_back({ name, value });
+            },
+            &self->m_lastHeaders);
+        self->m_changed.notify_all();
+    }
+
+    static void onChunk(SoupServerMessage* /*message*/, GBytes* bytes, gpointer data)
+    {
+        gsize size = 0;
+        const auto* start = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+        static_cast<Exchange*>(data)->body.add({ start, size });
+    }
+
+    static void onFinished(SoupServerMessage* message, gpointer data)
+    {
+        auto* self = static_cast<Exchange*>(data)->upstream;
+        g_signal_handlers_disconnect_by_data(message, data);
+        std::erase_if(self->m_held, [&](const auto& held) { return held.get() == data; });
+        self->m_exchanges.erase(message);
+    }
+
+    static void onRequest(
+        SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/, GHashTable* /*query*/, gpointer data)
+    {
+        auto* self = static_cast<UpstreamStandIn*>(data);
+        auto exchange = self->m_exchanges.at(message);
+        std::string fault = header(message, "Stand-In-Fault");
+        std::string size = header(message, "Stand-In-Size");
+        exchange->size = size.empty() ? 0 : std::stoull(size);
+        if (fault == "slow") {
+            soup_server_message_pause(message);
+            auto delay = std::chrono::milliseconds(std::stoll(header(message, "Stand-In-Delay-Ms")));
+            exchange->timer = self->m_task.every(delay, [exchange] {
+                auto held = keepAlive(exchange);
+                held->upstream->respond(*held);
+                return false;
+            });
+        } else if (fault == "hold") {
+            soup_server_message_pause(message);
+            self->m_held.push_back(exchange);
+        } else if (fault == "close")
+            takeOver(*exchange, "");
+        else if (fault == "cut")
+            takeOver(*exchange, cutResponse(exchange->size));
+        else if (fault == "unfinished")
+            takeOver(*exchange, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n");
+        else if (fault == "endless")
+            takeOver(*exchange, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nno length");
+        else
+            self->respond(*exchange);
+    }
+
+    // Half of what Content-Length promises.
+    static std::string cutResponse(uint64_t size)
+    {
+        uint64_t promised = std::max<uint64_t>(size, 10);
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", promised) + patternBytes(0, promised / 2);
+    }
+
+    // Takes the connection away from libsoup, writes `text` and closes.
+    static void takeOver(Exchange& exchange, const std::string& text)
+    {
+        auto message = shareObject(exchange.message.get());
+        ObjectHandle<GIOStream> stream(soup_server_message_steal_connection(message.get()));
+        GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream.get()));
+        g_socket_set_blocking(socket, TRUE);
+        size_t at = 0;
+        while (at < text.size()) {
+            gssize n = g_socket_send(socket, text.data() + at, text.size() - at, nullptr, nullptr);
+            if (n <= 0)
+                break;
+            at += static_cast<size_t>(n);
+        }
+        g_io_stream_close(stream.get(), nullptr, nullptr);
+    }
+
+    void respond(Exchange& exchange)
+    {
+        SoupServerMessage* message = exchange.message.get();
+        std::string fault = header(message, "Stand-In-Fault");
+        auto* headers = soup_server_message_get_response_headers(message);
+        guint status = fault == "shed" ? 503 : fault == "status" ? std::stoi(header(message, "Stand-In-Status")) : 200;
+        soup_server_message_set_status(message, status, nullptr);
+        if (fault == "shed")
+            soup_message_headers_append(headers, "Retry-After", "3");
+        soup_message_headers_append(headers, "Stand-In-Digest", exchange.body.text().c_str());
+        if (exchange.size) {
+            soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+            if (header(message, "Stand-In-Sized") == "yes")
+                soup_message_headers_set_content_length(headers, static_cast<goffset>(exchange.size));
+            sendMore(exchange);
+        } else {
+            std::string text = fmt::format(
+                "{} {} {}", soup_server_message_get_method(message), exchange.target, exchange.body.text());
+            soup_server_message_set_response(message, "text/plain", SOUP_MEMORY_COPY, text.data(), text.size());
+        }
+        soup_server_message_unpause(message);
+    }
+
+    static void sendMore(Exchange& exchange)
+    {
+        constexpr uint64_t step = 64 << 10;
+        auto* body = soup_server_message_get_response_body(exchange.message.get());
+        uint64_t n = std::min(step, exchange.size - exchange.sent);
+        if (n) {
+            std::string bytes = patternBytes(exchange.sent, n);
+            soup_message_body_append(body, SOUP_MEMORY_COPY, bytes.data(), bytes.size());
+            exchange.sent += n;
+        } else
+            soup_message_body_complete(body);
+    }
+
+    static void onWrote(SoupServerMessage* message, gpointer data)
+    {
+        auto& exchange = *static_cast<Exchange*>(data);
+        if (!exchange.size)
+            return;
+        sendMore(exchange);
+        soup_server_message_unpause(message);
+    }
+
+    Task m_task;
+    uint16_t m_port = 0;
+    ObjectHandle<SoupServer> m_server;
+    std::map<SoupServerMessage*, std::shared_ptr<Exchange>> m_exchanges;
+    std::vector<std::shared_ptr<Exchange>> m_held;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, size_t> m_counts;
+    std::vector<Header> m_lastHeaders;
+};
+
+} // namespace Gooseberrymill::Testing
