Add TOML form of configuration and settings

Operators hand over configuration documents and settings as TOML, and need every error of a file in one pass with its place and the allowed range.

Rules over several keys (floor against capacity, shadowed routes, non-repeatable routes that cannot work) run afterwards and skip keys that were already rejected. Settings gets operator==.

--- a/src/node/Settings.h
+++ b/src/node/Settings.h
@@ -46,6 +46,8 @@
 
     // [trace]
     std::string traceFile; // empty: decisions are not recorded
+
+    bool operator==(const Settings&) const = default;
 };
 
 } // namespace Gooseberrymill
--- /dev/null
+++ b/tests/ConfigurationFileTests.cpp
@@ -0,0 +1,311 @@
+#define BOOST_TEST_MODULE ConfigurationFile
+#include "ConfigurationFile.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <rapidcheck/boost_test.h>
+#include <sstream>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+const std::string goodText = R"(name = "main"
+
+[[service]]
+name = "bayaran"
+upstreams = 12
+slots = 7
+floorSlots = 56
+
+[[service.route]]
+name = "pay"
+path = "/payouts/*"
+methods = ["POST"]
+class = "critical"
+)";
+
+std::string replaced(std::string text, std::string_view from, std::string_view to)
+{
+    size_t at = text.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+std::string joined(const std::vector<FileError>& errors)
+{
+    std::string text;
+    for (const FileError& error : errors)
+        text += toString(error) + "\n";
+    return text;
+}
+
+// One error with the key path, and the line in which `marker` stands.
+void checkRefused(const std::string& text, std::string_view keyPath, std::string_view marker)
+{
+    auto result = parseConfiguration(text, "main.toml");
+    BOOST_TEST_CONTEXT(keyPath << "\n" << joined(result.errors))
+    {
+        BOOST_TEST(!result.value);
+        BOOST_REQUIRE(result.errors.size() == 1);
+        const FileError& error = result.errors.front();
+        BOOST_TEST(error.keyPath == keyPath);
+        BOOST_TEST(error.file == "main.toml");
+        BOOST_TEST(!error.found.empty());
+        BOOST_TEST(!error.allowed.empty());
+        size_t at = text.find(marker);
+        BOOST_REQUIRE(at != std::string::npos);
+        auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n');
+        BOOST_TEST(error.line == static_cast<uint32_t>(line));
+    }
+}
+
+void checkRouteRefused(std::string_view lines, std::string_view keyPath, std::string_view marker)
+{
+    checkRefused(goodText + std::string(lines), keyPath, marker);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Generators
+//-----------------------------------------------------------------------------
+
+rc::Gen<std::string> genName(const std::string& prefix)
+{
+    auto letters = rc::gen::container<std::string>(rc::gen::elementOf(std::string("abcXYZ019._-")));
+    return rc::gen::map(letters, [prefix](const std::string& text) { return (prefix + text).substr(0, 64); });
+}
+
+Duration genDuration(Duration min, Duration max)
+{
+    return Duration(*rc::gen::inRange<int64_t>(min.count(), max.count() + 1));
+}
+
+double genReal(double min, double max)
+{
+    constexpr int steps = 1'000'003;
+    return min + (max - min) * *rc::gen::inRange(0, steps) / steps;
+}
+
+Route genRoute(size_t index)
+{
+    Route route;
+    route.name = *genName(fmt::format("r{}", index));
+    route.path = fmt::format("/p{}", index) + *rc::gen::element<std::string>("", "/*", "/x/%20~", "/a/b/*");
+    route.methods = *rc::gen::elementOf(std::vector<std::vector<std::string>> { {}, { "GET" }, { "PUT", "PATCH" } });
+    route.repeatable = *rc::gen::arbitrary<bool>();
+    route.internal = *rc::gen::arbitrary<bool>();
+    route.workClass = static_cast<WorkClass>(*rc::gen::inRange(0, route.repeatable ? 4 : 3));
+    route.deadline = genDuration(1ms, 1min);
+    route.maxBodyBytes = *rc::gen::inRange<uint64_t>(0, route.repeatable ? (1 << 30) : maxNonRepeatableBodyBytes);
+    route.check.statuses = *rc::gen::container<std::vector<uint16_t>>(rc::gen::inRange<uint16_t>(100, 600));
+    route.check.statuses.resize(std::min<size_t>(route.check.statuses.size(), 32));
+    route.check.contentType = *rc::gen::element<std::string>("", "application/json", "text/plain;charset=utf-8");
+    route.check.requiredHeader = *rc::gen::element<std::string>("", "X-Signature");
+    route.check.minBytes = *rc::gen::inRange<uint64_t>(0, 1 << 20);
+    return route;
+}
+
+Service genService(size_t index)
+{
+    Service service;
+    service.name = *genName(fmt::format("s{}", index));
+    service.upstreams = *rc::gen::inRange<uint32_t>(1, 1000);
+    service.slots = *rc::gen::inRange<uint32_t>(1, 100);
+    service.floorSlots = *rc::gen::inRange<uint32_t>(0, service.upstreams * service.slots + 1);
+    service.retention = genDuration(1min, 720h);
+    service.detection.falseAlarmsPerUpstreamYear = genReal(0.0001, 1000);
+    service.detection.slowRatio = genReal(1.5, 100);
+    service.detection.failureShare = genReal(0.01, 1);
+    service.detection.probation = genDuration(1s, 24h);
+    service.detection.maxProbation = genDuration(service.detection.probation, 168h);
+    service.detection.ramp = genDuration(0s, 1h);
+    service.admission.queueLimit = *rc::gen::inRange<uint32_t>(1, 100'001);
+    service.admission.shortWorkSlots = *rc::gen::inRange<uint32_t>(0, service.slots);
+    service.admission.longWorkRatio = genReal(1.1, 1000);
+    for (uint32_t& weight : service.admission.weights)
+        weight = *rc::gen::inRange<uint32_t>(1, 1001);
+    service.retry.budgetShare = genReal(0, 0.2);
+    service.retry.maxAttempts = *rc::gen::inRange<uint32_t>(1, 11);
+    service.retry.hedge = *rc::gen::arbitrary<bool>();
+    auto routes = *rc::gen::inRange<size_t>(1, 5);
+    for (size_t i = 0; i < routes; ++i)
+        service.routes.push_back(genRoute(index * 100 + i));
+    return service;
+}
+
+} // namespace
+
+// Guards against a value that changes between the operators' library, the store and a node.
+RC_BOOST_PROP(printedConfigurationParsesToSameValue, ())
+{
+    Configuration configuration;
+    configuration.name = *genName("d");
+    auto services = *rc::gen::inRange<size_t>(1, 4);
+    for (size_t i = 0; i < services; ++i)
+        configuration.services.push_back(genService(i));
+    auto result = parseConfiguration(printConfiguration(configuration), "generated");
+    if (!result.value)
+        RC_FAIL(joined(result.errors));
+    RC_ASSERT(*result.value == configuration);
+}
+
+// Guards against a parser that fails on damaged text in any way but by reporting errors.
+RC_BOOST_PROP(damagedTextIsReported, (const std::string& junk))
+{
+    std::string text = goodText;
+    text.insert(*rc::gen::inRange<size_t>(0, text.size()), junk);
+    auto result = parseConfiguration(text, "damaged");
+    RC_ASSERT(result.value.has_value() == result.errors.empty());
+}
+
+RC_BOOST_PROP(durationsAndSizesRoundTrip, ())
+{
+    auto micros = *rc::gen::inRange<int64_t>(0, int64_t(1) << 50);
+    RC_ASSERT(parseDuration(printDuration(Duration(micros))) == std::optional(Duration(micros)));
+    auto bytes = *rc::gen::inRange<uint64_t>(0, uint64_t(1) << 50);
+    RC_ASSERT(parseSize(printSize(bytes)) == std::optional(bytes));
+}
+
+// Guards against a value without a unit being read in a unit the operator did not mean.
+BOOST_AUTO_TEST_CASE(durationsAndSizesNeedUnits)
+{
+    BOOST_TEST((parseDuration("250ms") == Duration(250ms)));
+    BOOST_TEST((parseDuration("24h") == Duration(24h)));
+    BOOST_TEST((parseSize("64KiB") == uint64_t(65536)));
+    for (std::string_view text :
+        { "", "s", "10", "-1s", "1.5s", "10 s", "10S", "1m", "99999999999999999999s", "9223372036854775807h", "+1s" })
+        BOOST_TEST_CONTEXT(text) { BOOST_TEST(!parseDuration(text)); }
+    for (std::string_view text : { "", "64", "64KB", "64 KiB", "-1B", "18446744073709551615GiB" })
+        BOOST_TEST_CONTEXT(text) { BOOST_TEST(!parseSize(text)); }
+}
+
+// Guards against a valid document being refused, and against a default differing from Configuration.h.
+BOOST_AUTO_TEST_CASE(readsDocumentWithDefaults)
+{
+    auto result = parseConfiguration(goodText, "main.toml");
+    BOOST_TEST_CONTEXT(joined(result.errors)) { BOOST_REQUIRE(result.value); }
+    const Service& service = result.value->services.at(0);
+    BOOST_TEST(service.floorSlots == 56U);
+    BOOST_TEST((service.detection == DetectionPolicy {}));
+    BOOST_TEST((service.admission == AdmissionPolicy {}));
+    BOOST_TEST((service.retry == RetryPolicy {}));
+    BOOST_TEST(!service.routes.at(0).repeatable);
+    BOOST_TEST((service.routes.at(0).workClass == WorkClass::Critical));
+}
+
+// Guards against a service with a single slot that no long request could ever use.
+BOOST_AUTO_TEST_CASE(singleSlotIsNotKeptForShortRequests)
+{
+    std::string text = replaced(replaced(goodText, "slots = 7", "slots = 1"), "floorSlots = 56", "floorSlots = 6");
+    auto result = parseConfiguration(text, "main.toml");
+    BOOST_TEST_CONTEXT(joined(result.errors)) { BOOST_REQUIRE(result.value); }
+    BOOST_TEST(result.value->services.at(0).admission.shortWorkSlots == 0U);
+}
+
+// Guards against a wrong value that takes effect, or that is reported without the place or the range.
+BOOST_AUTO_TEST_CASE(refusesWrongValues)
+{
+    checkRefused(replaced(goodText, "slots = 7", "slots = 0"), "service[0].slots", "slots = 0");
+    checkRefused(replaced(goodText, "slots = 7", "slots = -7"), "service[0].slots", "slots = -7");
+    checkRefused(replaced(goodText, "slots = 7", "slots = \"7\""), "service[0].slots", "slots = \"7\"");
+    checkRefused(replaced(goodText, "slots = 7", "slots = 7.5"), "service[0].slots", "slots = 7.5");
+    checkRefused(replaced(goodText, "slots = 7", "slot = 7\nslots = 7"), "service[0].slot", "slot = 7\n");
+    checkRefused(replaced(goodText, "slots = 7\n", ""), "service[0].slots", "[[service]]");
+    checkRefused(replaced(goodText, "floorSlots = 56", "floorSlots = 85"), "service[0].floorSlots", "floorSlots");
+    checkRefused(replaced(goodText, "floorSlots = 56\n", ""), "service[0].floorSlots", "[[service]]");
+    checkRefused(replaced(goodText, "\"bayaran\"", "\"bay aran\""), "service[0].name", "\"bay aran\"");
+    checkRefused(replaced(goodText, "\"critical\"", "\"urgent\""), "service[0].route[0].class", "\"urgent\"");
+    checkRefused(replaced(goodText, "[\"POST\"]", "[\"post\"]"), "service[0].route[0].methods[0]", "\"post\"");
+    checkRefused(replaced(goodText, "[\"POST\"]", "\"POST\""), "service[0].route[0].methods", "\"POST\"");
+    checkRefused(replaced(goodText, "/payouts/*", "/pay*outs"), "service[0].route[0].path", "/pay*outs");
+    checkRefused(replaced(goodText, "/payouts/*", "payouts"), "service[0].route[0].path", "\"payouts\"");
+    checkRefused(
+        replaced(goodText, "floorSlots", "retention = 86400\nfloorSlots"), "service[0].retention", "retention");
+    checkRefused(
+        replaced(goodText, "floorSlots", "retention = \"1s\"\nfloorSlots"), "service[0].retention", "retention");
+    checkRefused(replaced(goodText, "floorSlots", "admission.shortWorkSlots = 7\nfloorSlots"),
+        "service[0].admission.shortWorkSlots", "admission");
+    checkRefused(replaced(goodText, "floorSlots", "detection.maxProbation = \"10s\"\nfloorSlots"),
+        "service[0].detection.maxProbation", "detection");
+    checkRefused(replaced(goodText, "floorSlots", "retry.budgetShare = nan\nfloorSlots"),
+        "service[0].retry.budgetShare", "retry");
+    checkRefused(replaced(goodText, "floorSlots", "admission.weights.patient = 0\nfloorSlots"),
+        "service[0].admission.weights.patient", "admission");
+    checkRefused("name = \"main\"\nservice = 3\n", "service", "service");
+    checkRefused("name = \"main\"\n", "service", "name"); // would remove every service
+}
+
+// Guards against an operation that can never run or whose outcome is forgotten too early.
+BOOST_AUTO_TEST_CASE(refusesImpossibleNonRepeatableRoutes)
+{
+    checkRefused(replaced(goodText, "\"critical\"", "\"background\""), "service[0].route[0].class", "\"background\"");
+    checkRouteRefused("maxBodyBytes = \"2MiB\"\n", "service[0].route[0].maxBodyBytes", "maxBodyBytes");
+    checkRouteRefused("deadline = \"24h\"\n[service.x]\n", "service[0].x", "[service.x]");
+    checkRefused(replaced(goodText + "deadline = \"2h\"\n", "floorSlots", "retention = \"1h\"\nfloorSlots"),
+        "service[0].route[0].deadline", "deadline");
+    auto repeatable = parseConfiguration(
+        replaced(goodText, "\"critical\"", "\"background\"\nrepeatable = true\nmaxBodyBytes = \"2MiB\""), "main.toml");
+    BOOST_TEST_CONTEXT(joined(repeatable.errors)) { BOOST_TEST(repeatable.value.has_value()); }
+}
+
+// Guards against a route that the operator believes in force while an earlier one takes its requests.
+BOOST_AUTO_TEST_CASE(refusesUnreachableRoutes)
+{
+    std::string head = "[[service.route]]\nname = \"second\"\n";
+    auto addRoute
+        = [&](std::string_view text, std::string_view lines) { return std::string(text) + head + std::string(lines); };
+    std::string samePath = "path = \"/payouts/*\" # second\n";
+    checkRefused(addRoute(goodText, samePath + "methods = [\"GET\", \"POST\"] # overlap\n"),
+        "service[0].route[1].methods", "# overlap");
+    std::string anyMethod = replaced(goodText, "methods = [\"POST\"]\n", "");
+    checkRefused(addRoute(anyMethod, samePath), "service[0].route[1].path", "# second");
+    checkRefused(
+        addRoute(anyMethod, samePath + "methods = [\"GET\"] # covered\n"), "service[0].route[1].methods", "# covered");
+    for (const std::string& lines :
+        { samePath, samePath + "methods = [\"GET\"]\n", std::string("path = \"/payouts\"\n") }) {
+        auto result = parseConfiguration(addRoute(goodText, lines), "main.toml");
+        BOOST_TEST_CONTEXT(lines << joined(result.errors)) { BOOST_TEST(result.value.has_value()); }
+    }
+}
+
+// Guards against one error hiding the others, which costs the operator one attempt per error.
+BOOST_AUTO_TEST_CASE(collectsAllErrorsInLineOrder)
+{
+    std::string text = replaced(goodText, "slots = 7", "slots = true");
+    text = replaced(text, "\"critical\"", "1");
+    text = replaced(text, "floorSlots = 56", "floorSlots = 56\ncolour = \"red\"");
+    auto result = parseConfiguration(text, "main.toml");
+    BOOST_TEST_CONTEXT(joined(result.errors))
+    {
+        BOOST_REQUIRE(result.errors.size() == 3);
+        BOOST_TEST(result.errors[0].keyPath == "service[0].slots");
+        BOOST_TEST(result.errors[1].keyPath == "service[0].colour");
+        BOOST_TEST(result.errors[2].keyPath == "service[0].route[0].class");
+    }
+}
+
+// Guards against a syntax error without its place.
+BOOST_AUTO_TEST_CASE(reportsSyntaxErrors)
+{
+    auto result = parseConfiguration("name = \"main\"\nservice = [\n= 3\n", "main.toml");
+    BOOST_REQUIRE(result.errors.size() == 1);
+    BOOST_TEST(result.errors[0].line == 3U);
+    BOOST_TEST(toString(result.errors[0]).starts_with("main.toml:3: found a syntax error"));
+    auto duplicate = parseConfiguration("name = \"main\"\nname = \"main\"\n", "main.toml");
+    BOOST_REQUIRE(duplicate.errors.size() == 1);
+    BOOST_TEST(duplicate.errors[0].line == 2U);
+}
+
+// Guards against two services or routes under one name, which metrics and audit could not tell apart.
+BOOST_AUTO_TEST_CASE(refusesDuplicateNames)
+{
+    std::string route = "[[service.route]]\nname = \"pay\"\npath = \"/other\"\n";
+    auto routes = parseConfiguration(goodText + route, "main.toml");
+    BOOST_REQUIRE(routes.errors.size() == 1);
+    BOOST_TEST(routes.errors[0].keyPath == "service[0].route[1].name");
+    std::string service = replaced(goodText.substr(goodText.find("[[service]]")), "/payouts/*", "/other/*");
+    auto services = parseConfiguration(goodText + service, "main.toml");
+    BOOST_REQUIRE(services.errors.size() == 1);
+    BOOST_TEST(services.errors[0].keyPath == "service[1].name");
+}
