--- /dev/null
+++ b/tests/ConfigurationPublisherTests.cpp
@@ -0,0 +1,171 @@
+#define BOOST_TEST_MODULE ConfigurationPublisher
+#include "ConfigurationPublisher.h"
+#include "core/MemoryStore.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+const std::string text = "[[service]]\nname = \"sello\"\nupstreams = 12\nslots = 4\nfloorSlots = 32\n"
+                         "[[service.route]]\nname = \"issue\"\npath = \"/certificates\"\n";
+
+struct Attempt {
+    std::optional<PublishReport> report;
+};
+
+std::shared_ptr<Attempt> publish(
+    MemoryStore& store, const std::string& author, std::optional<uint64_t> expected = std::nullopt)
+{
+    auto attempt = std::make_shared<Attempt>();
+    ConfigurationObject object { text, "change-of-" + author, author, "2026-01-01T00:00:00Z", "" };
+    auto publisher = std::make_shared<ConfigurationPublisher<MemoryStore>>(
+        store, "main", object, [attempt](const PublishReport& report) { attempt->report = report; });
+    publisher->start(expected);
+    return attempt;
+}
+
+PublishStatus statusOf(const std::shared_ptr<Attempt>& attempt)
+{
+    BOOST_REQUIRE(attempt->report);
+    return attempt->report->status;
+}
+
+StoredObject stored(MemoryStore& store)
+{
+    StoredObject object;
+    store.get(configurationKind, "main", [&](Result<StoredObject> result) {
+        if (result)
+            object = result.value();
+    });
+    store.deliverAll();
+    return object;
+}
+
+} // namespace
+
+// Guards against a field that changes in the store.
+RC_BOOST_PROP(objectRoundTrips, ())
+{
+    auto word = rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+    ConfigurationObject object { *word, *word, *word, *word, *word };
+    auto parsed = parseConfigurationObject(printConfigurationObject(object));
+    RC_ASSERT(parsed.has_value());
+    RC_ASSERT(parsed.value() == object);
+}
+
+// Guards against a damaged object in the store being applied or ending the process.
+BOOST_AUTO_TEST_CASE(refusesDamagedObjects)
+{
+    for (std::string_view value :
+        { "", "[]", "{}", "{\"text\": 1, \"changeId\": \"\", \"author\": \"\", \"appliedAt\": \"\"}", "{\"text\"",
+            "{\"text\": \"\", \"changeId\": \"\", \"author\": \"\"}" })
+        BOOST_TEST_CONTEXT(value) { BOOST_TEST(!parseConfigurationObject(value)); }
+    StoredObject object { "configuration", "main", 3,
+        printConfigurationObject({ "name = 3", "id", "ana", "2026-01-01T00:00:00Z", "" }) };
+    auto invalid = readConfiguration(object);
+    BOOST_REQUIRE(!invalid);
+    BOOST_TEST(invalid.error().detail.find("configuration/main:1") == 0U);
+    object.value = printConfigurationObject({ text, "id", "ana", "2026-01-01T00:00:00Z", "" });
+    auto valid = readConfiguration(object);
+    BOOST_REQUIRE(valid);
+    BOOST_TEST(valid.value().version == 3U);
+    BOOST_TEST(valid.value().author == "ana");
+    object.name = "other";
+    BOOST_TEST(!readConfiguration(object));
+}
+
+// Guards against two operators who both believe that their change is in force.
+BOOST_AUTO_TEST_CASE(racingChangesHaveOneWinner)
+{
+    MemoryStore store;
+    auto first = publish(store, "ana");
+    auto second = publish(store, "budi"); // both have read the same version when the writes start
+    store.deliverAll();
+    BOOST_TEST((statusOf(first) == PublishStatus::Applied));
+    BOOST_TEST((statusOf(second) == PublishStatus::Lost));
+    BOOST_TEST(second->report->winner == "ana");
+    BOOST_TEST(second->report->winnerChangeId == "change-of-ana");
+    BOOST_TEST(second->report->version == first->report->version);
+}
+
+// Guards against a change that overwrites one the operator has not seen.
+BOOST_AUTO_TEST_CASE(expectedVersionIsCondition)
+{
+    MemoryStore store;
+    auto first = publish(store, "ana", 0);
+    store.deliverAll();
+    BOOST_TEST((statusOf(first) == PublishStatus::Applied));
+    auto stale = publish(store, "budi", 0);
+    store.deliverAll();
+    BOOST_TEST((statusOf(stale) == PublishStatus::Lost));
+    BOOST_TEST(stale->report->winner == "ana");
+    auto fresh = publish(store, "budi", first->report->version);
+    store.deliverAll();
+    BOOST_TEST((statusOf(fresh) == PublishStatus::Applied));
+}
+
+// Guards against a change reported as failed although the store has taken it.
+BOOST_AUTO_TEST_CASE(lostAnswerIsSettledByChangeId)
+{
+    MemoryStore store;
+    store.faults.lostAnswers = 1;
+    auto attempt = publish(store, "ana");
+    store.deliverAll();
+    BOOST_TEST((statusOf(attempt) == PublishStatus::Applied));
+    BOOST_TEST(attempt->report->version == stored(store).version);
+}
+
+// Guards against a change reported as applied although the store never got it.
+BOOST_AUTO_TEST_CASE(lostWriteIsRepeated)
+{
+    MemoryStore store;
+    store.faults.lostWrites = 1;
+    auto attempt = publish(store, "ana");
+    store.deliverAll();
+    BOOST_TEST((statusOf(attempt) == PublishStatus::Applied));
+    store.faults.lostWrites = 100;
+    auto hopeless = publish(store, "budi");
+    store.deliverAll();
+    BOOST_TEST((statusOf(hopeless) == PublishStatus::Unknown));
+    BOOST_TEST(parseConfigurationObject(stored(store).value).value().author == "ana");
+}
+
+// Guards against a guess when the store goes down between the write and the reading back.
+BOOST_AUTO_TEST_CASE(outageAfterLostAnswerIsUnknown)
+{
+    MemoryStore store;
+    store.faults.lostAnswers = 1;
+    auto attempt = publish(store, "ana");
+    store.deliver(); // the read; the write is now in the store
+    store.faults.isDown = true;
+    store.deliverAll();
+    BOOST_TEST((statusOf(attempt) == PublishStatus::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(outageBeforeWriteIsFailure)
+{
+    MemoryStore store;
+    store.faults.isDown = true;
+    auto attempt = publish(store, "ana");
+    store.deliverAll();
+    BOOST_TEST((statusOf(attempt) == PublishStatus::Failed));
+}
+
+// Guards against an applied change that is reported as lost because somebody built on it at once.
+BOOST_AUTO_TEST_CASE(lostAnswerThenReplaced)
+{
+    MemoryStore store;
+    store.faults.lostAnswers = 1;
+    auto first = publish(store, "ana");
+    store.deliver();
+    uint64_t version = 1;
+    store.put(configurationKind, "main",
+        printConfigurationObject({ text, "change-of-budi", "budi", "2026-01-01T00:00:00Z", "change-of-ana" }), version,
+        [](const Result<uint64_t>& result) { BOOST_TEST(result.has_value()); });
+    store.deliverAll();
+    BOOST_TEST((statusOf(first) == PublishStatus::Superseded));
+    BOOST_TEST(first->report->winner == "budi");
+}
