--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -30,11 +30,16 @@
 #pragma once
 
 #include "core/Admission.h" // concurrency limit and queue of one upstream
-#include "core/Balancer.h" // choice of an upstream
+#include "core/AdmissionQueue.h" // weighted fair queue with early shedding
+#include "core/Balancer.h" // choice of an upstream, power of two choices in the nearest tier
 #include "core/Basics.h" // time, identifiers, outcomes, errors
 #include "core/Configuration.h" // services, routes, policies
 #include "core/Ejection.h" // floor-safe ejection
+#include "core/FifoAdmission.h" // baseline of AdmissionQueue
 #include "core/Health.h" // evidence and verdicts
+#include "core/LeastOutstandingBalancer.h" // baseline of Balancer
 #include "core/Membership.h" // failure detection and dissemination
 #include "core/ObjectStore.h" // the platform's store, as a concept
 #include "core/RelayMessages.h" // messages between nodes
+#include "core/RetryBudget.h" // bound on retries, decision on another attempt
+#include "core/RoundRobinBalancer.h" // baseline of Balancer
--- /dev/null
+++ b/src/core/AdmissionQueue.cpp
@@ -0,0 +1,438 @@
+#include "AdmissionQueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr uint32_t updateInterval = 8; // samples between two computations of the quantiles
+constexpr double highQuantile = 0.9; // nine of ten requests dispatched just in time meet their deadline
+constexpr double residualClamp = 0.7; // stragglers must not dominate the mean of a level
+constexpr uint32_t minLevelSamples = 32;
+constexpr double levelGain = 1.0 / 64;
+constexpr double contentionRatio = 1.25; // service time at the limit against half of it
+constexpr Duration levelLifetime = 60s;
+constexpr Duration adaptInterval = 1s;
+constexpr Duration probeInterval = 5s;
+constexpr Duration estimateLifetime = 10s; // an estimate without samples must not refuse work forever
+constexpr Duration minRetryAfter = 1s;
+constexpr Duration maxRetryAfter = 30s;
+
+double micros(Duration duration) { return static_cast<double>(duration.count()); }
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] RecentLengths
+//-----------------------------------------------------------------------------
+
+RecentLengths::RecentLengths(size_t window)
+    : m_window(window)
+{
+}
+
+void RecentLengths::add(Duration length)
+{
+    if (m_samples.size() < m_window)
+        m_samples.push_back(length);
+    else
+        m_samples[m_next] = length;
+    m_next = (m_next + 1) % m_window;
+    if (m_samples.size() <= updateInterval || ++m_sinceUpdate >= updateInterval)
+        update();
+}
+
+void RecentLengths::update()
+{
+    m_sinceUpdate = 0;
+    m_sorted = m_samples;
+    auto nth = [&](double quantile) {
+        auto it = m_sorted.begin() + static_cast<std::ptrdiff_t>(quantile * static_cast<double>(m_sorted.size() - 1));
+        std::nth_element(m_sorted.begin(), it, m_sorted.end());
+        return *it;
+    };
+    m_median = nth(0.5);
+    m_high = nth(highQuantile);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] ConcurrencyLimit
+//-----------------------------------------------------------------------------
+
+ConcurrencyLimit::ConcurrencyLimit(uint32_t slots)
+    : m_slots(std::max(1U, slots))
+    , m_limit(m_slots)
+    , m_levels(m_slots + 1)
+{
+}
+
+void ConcurrencyLimit::record(uint32_t concurrency, double logRatio, Instant now)
+{
+    Level& level = m_levels[std::clamp(concurrency, 1U, m_slots)];
+    if (now - level.updated > levelLifetime)
+        level = {};
+    ++level.count;
+    double gain = std::max(levelGain, 1.0 / level.count);
+    level.mean += gain * (std::clamp(logRatio, -residualClamp, residualClamp) - level.mean);
+    level.updated = now;
+    if (now - m_checked >= adaptInterval)
+        adapt(now);
+}
+
+std::optional<double> ConcurrencyLimit::meanOf(uint32_t first, uint32_t last, Instant now) const
+{
+    double sum = 0;
+    double weight = 0;
+    uint32_t count = 0;
+    for (uint32_t i = std::max(1U, first); i <= last; ++i) {
+        const Level& level = m_levels[i];
+        if (!level.count || now - level.updated > levelLifetime)
+            continue;
+        double levelWeight = std::min(level.count, minLevelSamples);
+        sum += level.mean * levelWeight;
+        weight += levelWeight;
+        count += level.count;
+    }
+    if (count < minLevelSamples)
+        return std::nullopt;
+    return sum / weight;
+}
+
+void ConcurrencyLimit::adapt(Instant now)
+{
+    m_checked = now;
+    std::optional<double> high = meanOf(m_limit, m_limit, now);
+    std::optional<double> low = meanOf(1, std::max(1U, m_limit / 2), now);
+    if (m_limit > 1 && high && low && *high - *low > std::log(contentionRatio)) {
+        m_levels[m_limit] = {}; // judged afresh when the limit comes back to it
+        --m_limit;
+        m_changed = now;
+        return;
+    }
+    if (m_limit < m_slots && now - m_changed >= probeInterval) {
+        ++m_limit;
+        m_levels[m_limit] = {};
+        m_changed = now;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] AdmissionQueue
+//-----------------------------------------------------------------------------
+
+AdmissionQueue::AdmissionQueue(const Service& service)
+    : AdmissionQueue(service.slots, service.admission)
+{
+}
+
+AdmissionQueue::AdmissionQueue(uint32_t slots, const AdmissionPolicy& policy)
+    : m_policy(policy)
+    , m_limit(slots)
+{
+}
+
+double AdmissionQueue::weightOf(size_t index) const { return std::max(1U, m_policy.weights[index]); }
+
+Duration AdmissionQueue::expectedTime(uint32_t workKey, Instant now) const
+{
+    auto it = m_estimates.find(workKey);
+    if (it == m_estimates.end() || now - it->second.updated > estimateLifetime)
+        return Duration::zero();
+    return it->second.lengths.high();
+}
+
+// Share of capacity that a request is expected to take: its median, or the service's while unknown.
+Duration AdmissionQueue::plannedTime(uint32_t workKey, Instant) const
+{
+    auto it = m_estimates.find(workKey);
+    Duration time = it == m_estimates.end() ? m_serviceLengths.median() : it->second.lengths.median();
+    return std::max(time, Duration(1));
+}
+
+bool AdmissionQueue::isLong(uint32_t workKey, Instant) const
+{
+    auto it = m_estimates.find(workKey);
+    if (it == m_estimates.end())
+        return false;
+    return micros(it->second.lengths.median()) > m_policy.longWorkRatio * micros(m_serviceLengths.median());
+}
+
+// Work that goes first, over the slots: all critical work, earlier deadlines of the own class, and the
+// other classes in proportion to their weights.
+Duration AdmissionQueue::predictedWait(const Waiting& request) const
+{
+    auto own = static_cast<size_t>(request.workClass);
+    Duration ahead {};
+    for (const Lane* lane : { &m_classes[own].shortWork, &m_classes[own].longWork }) {
+        for (auto it = lane->begin(); it != lane->end() && *it < request; ++it)
+            ahead += it->expected;
+    }
+    double total = micros(ahead);
+    for (size_t i = 0; i < workClassCount; ++i) {
+        if (i == own)
+            continue;
+        double work = micros(m_classes[i].work);
+        if (i == static_cast<size_t>(WorkClass::Critical))
+            total += work;
+        else if (own != static_cast<size_t>(WorkClass::Critical))
+            total += std::min(work, micros(ahead + request.expected) * weightOf(i) / weightOf(own));
+    }
+    if (m_running.size() >= m_limit.value())
+        total += micros(m_serviceLengths.median()) / 2;
+    return Duration(static_cast<int64_t>(total / m_limit.value()));
+}
+
+// Requests that turned out to be long count like those that were expected to be.
+bool AdmissionQueue::mayRunLong(Instant now) const
+{
+    uint32_t limit = m_limit.value();
+    uint32_t allowed = std::max(1U, limit - std::min(limit, m_policy.shortWorkSlots));
+    double threshold = m_policy.longWorkRatio * micros(m_serviceLengths.median());
+    auto longCount = std::count_if(m_running.begin(), m_running.end(), [&](const auto& entry) {
+        return entry.second.isLong || (threshold > 0 && micros(now - entry.second.started) > threshold);
+    });
+    return static_cast<uint32_t>(longCount) < allowed;
+}
+
+AdmissionQueue::Lane* AdmissionQueue::pickLane(ClassQueue& queue, bool longAllowed)
+{
+    bool useLong = longAllowed && !queue.longWork.empty();
+    if (queue.shortWork.empty())
+        return useLong ? &queue.longWork : nullptr;
+    if (useLong && *queue.longWork.begin() < *queue.shortWork.begin())
+        return &queue.longWork;
+    return &queue.shortWork;
+}
+
+AdmissionQueue::ClassQueue* AdmissionQueue::pickFairClass(bool longAllowed)
+{
+    ClassQueue* best = nullptr;
+    for (size_t i = static_cast<size_t>(WorkClass::Critical) + 1; i < workClassCount; ++i) {
+        ClassQueue& queue = m_classes[i];
+        if (pickLane(queue, longAllowed) && (!best || queue.virtualTime < best->virtualTime))
+            best = &queue;
+    }
+    return best;
+}
+
+// Critical work goes first, but the other classes together earn the share of the smallest weight, so
+// that a surge of critical work does not starve them.
+AdmissionQueue::ClassQueue* AdmissionQueue::pickClass(bool longAllowed)
+{
+    ClassQueue& critical = m_classes[static_cast<size_t>(WorkClass::Critical)];
+    ClassQueue* other = pickFairClass(longAllowed);
+    if (!pickLane(critical, longAllowed))
+        return other;
+    if (other && m_otherCredit >= micros(pickLane(*other, longAllowed)->begin()->expected))
+        return other;
+    return &critical;
+}
+
+const AdmissionQueue::Waiting* AdmissionQueue::pick(Instant now)
+{
+    if (m_waitingClass.empty() || m_running.size() >= m_limit.value())
+        return nullptr;
+    bool longAllowed = mayRunLong(now);
+    ClassQueue* queue = pickClass(longAllowed);
+    return queue ? &*pickLane(*queue, longAllowed)->begin() : nullptr;
+}
+
+void AdmissionQueue::enqueue(const Waiting& request, bool isLong)
+{
+    ClassQueue& queue = m_classes[static_cast<size_t>(request.workClass)];
+    if (queue.empty())
+        queue.virtualTime = std::max(queue.virtualTime, m_virtualTime); // an idle class saves up no claim
+    (isLong ? queue.longWork : queue.shortWork).insert(request);
+    queue.work += request.expected;
+    m_waitingClass.emplace(request.ticket, request.workClass);
+}
+
+AdmissionQueue::Waiting AdmissionQueue::dequeue(ClassQueue& queue, Lane& lane, Lane::iterator it)
+{
+    Waiting request = *it;
+    lane.erase(it);
+    queue.work -= request.expected;
+    m_waitingClass.erase(request.ticket);
+    return request;
+}
+
+void AdmissionQueue::charge(ClassQueue& queue, Duration cost)
+{
+    auto index = static_cast<size_t>(&queue - m_classes.data());
+    m_virtualTime = std::max(m_virtualTime, queue.virtualTime);
+    queue.virtualTime += micros(cost) / weightOf(index);
+    if (index != static_cast<size_t>(WorkClass::Critical)) {
+        m_otherCredit = std::max(0.0, m_otherCredit - micros(cost));
+        return;
+    }
+    bool othersWait = m_waitingClass.size() > queue.shortWork.size() + queue.longWork.size();
+    if (!othersWait) {
+        m_otherCredit = 0;
+        return;
+    }
+    double sum = 0;
+    double smallest = weightOf(0);
+    for (size_t i = 0; i < workClassCount; ++i) {
+        sum += weightOf(i);
+        smallest = std::min(smallest, weightOf(i));
+    }
+    m_otherCredit += micros(cost) * smallest / sum;
+}
+
+void AdmissionQueue::dispatch(const Waiting& request, Instant now)
+{
+    charge(m_classes[static_cast<size_t>(request.workClass)], request.expected);
+    auto concurrency = static_cast<uint32_t>(m_running.size()) + 1;
+    bool isNew
+        = m_running.emplace(request.ticket, Running { request.workKey, concurrency, isLong(request.workKey, now), now })
+              .second;
+    assert(isNew && "a ticket was offered twice");
+    (void)isNew;
+}
+
+AdmissionDecision AdmissionQueue::refuse(RefusalReason reason, Duration wait) const
+{
+    return { AdmissionVerdict::Refuse, reason, std::clamp(wait, minRetryAfter, maxRetryAfter) };
+}
+
+// Drops the waiting request of the lowest class with the latest deadline, if its class is below that of
+// `request`.
+bool AdmissionQueue::makeRoomFor(const Waiting& request)
+{
+    for (size_t i = workClassCount; --i > static_cast<size_t>(request.workClass);) {
+        ClassQueue& queue = m_classes[i];
+        if (queue.empty())
+            continue;
+        bool fromLong = !queue.longWork.empty()
+            && (queue.shortWork.empty() || *queue.shortWork.rbegin() < *queue.longWork.rbegin());
+        Lane& lane = fromLong ? queue.longWork : queue.shortWork;
+        Waiting dropped = dequeue(queue, lane, std::prev(lane.end()));
+        m_refusals.push_back({ dropped.ticket, RefusalReason::QueueFull });
+        return true;
+    }
+    return false;
+}
+
+AdmissionDecision AdmissionQueue::offer(const AdmissionRequest& request, Instant now)
+{
+    Waiting waiting { request.deadline, request.ticket, request.workKey, request.workClass,
+        plannedTime(request.workKey, now) };
+    if (request.deadline <= now)
+        return refuse(RefusalReason::DeadlineExceeded, {});
+    dropUnreachable(now);
+    if (m_running.empty() && m_waitingClass.empty()) {
+        // An idle upstream takes work even when the estimate says it is too slow: the estimate is only
+        // corrected by new samples.
+        dispatch(waiting, now);
+        return { .verdict = AdmissionVerdict::Dispatch };
+    }
+    bool isFree = m_running.size() < m_limit.value();
+    Duration wait = isFree ? Duration::zero() : predictedWait(waiting);
+    if (now + wait + expectedTime(request.workKey, now) > request.deadline)
+        return refuse(RefusalReason::DeadlineUnreachable, wait);
+    enqueue(waiting, isLong(request.workKey, now));
+    const Waiting* next = pick(now);
+    if (next && next->ticket == request.ticket) {
+        takeReady(now);
+        return { .verdict = AdmissionVerdict::Dispatch };
+    }
+    if (m_waitingClass.size() <= m_policy.queueLimit || makeRoomFor(waiting))
+        return { .verdict = AdmissionVerdict::Queued };
+    cancel(request.ticket, now);
+    return refuse(RefusalReason::QueueFull, wait);
+}
+
+void AdmissionQueue::finish(TicketId ticket, Duration length, bool completed, Instant now)
+{
+    auto it = m_running.find(ticket);
+    assert(it != m_running.end() && "finish without dispatch");
+    if (it == m_running.end())
+        return;
+    Running done = it->second;
+    auto concurrency = static_cast<uint32_t>(m_running.size());
+    m_running.erase(it);
+    if (!completed)
+        return;
+    WorkEstimate& estimate = m_estimates[done.workKey];
+    if (estimate.lengths.isKnown()) {
+        double logRatio
+            = std::log(std::max(1.0, micros(length)) / micros(std::max(estimate.lengths.median(), Duration(1))));
+        m_limit.record((done.concurrency + concurrency) / 2, logRatio, now);
+    }
+    estimate.lengths.add(length);
+    estimate.updated = now;
+    m_serviceLengths.add(length);
+}
+
+bool AdmissionQueue::cancel(TicketId ticket, Instant)
+{
+    auto found = m_waitingClass.find(ticket);
+    if (found == m_waitingClass.end())
+        return std::erase_if(m_refusals, [&](const auto& refusal) { return refusal.ticket == ticket; }) > 0;
+    ClassQueue& queue = m_classes[static_cast<size_t>(found->second)];
+    for (Lane* lane : { &queue.shortWork, &queue.longWork }) {
+        auto it = std::find_if(lane->begin(), lane->end(), [&](const Waiting& w) { return w.ticket == ticket; });
+        if (it == lane->end())
+            continue;
+        dequeue(queue, *lane, it);
+        return true;
+    }
+    return false;
+}
+
+// Moves waiting requests whose deadline can no longer be met to the refusals. Lanes are sorted by
+// deadline, so only their fronts are looked at.
+void AdmissionQueue::dropUnreachable(Instant now)
+{
+    for (ClassQueue& queue : m_classes) {
+        for (Lane* lane : { &queue.shortWork, &queue.longWork }) {
+            while (!lane->empty()) {
+                const Waiting& front = *lane->begin();
+                // An idle upstream may try work that the estimate calls too slow, see offer().
+                Duration needed = m_running.empty() ? Duration::zero() : expectedTime(front.workKey, now);
+                if (now + needed <= front.deadline)
+                    break;
+                Waiting dropped = dequeue(queue, *lane, lane->begin());
+                m_refusals.push_back({ dropped.ticket, RefusalReason::DeadlineUnreachable });
+            }
+        }
+    }
+}
+
+std::optional<TicketId> AdmissionQueue::takeReady(Instant now)
+{
+    if (m_running.size() >= m_limit.value())
+        return std::nullopt;
+    dropUnreachable(now);
+    const Waiting* next = pick(now);
+    if (!next)
+        return std::nullopt;
+    ClassQueue& queue = m_classes[static_cast<size_t>(next->workClass)];
+    bool inShort = !queue.shortWork.empty() && &*queue.shortWork.begin() == next;
+    Lane& lane = inShort ? queue.shortWork : queue.longWork;
+    Waiting request = dequeue(queue, lane, lane.begin());
+    dispatch(request, now);
+    return request.ticket;
+}
+
+std::optional<AdmissionRefusal> AdmissionQueue::takeExpired(Instant now)
+{
+    dropUnreachable(now);
+    if (m_refusals.empty())
+        return std::nullopt;
+    AdmissionRefusal refusal = m_refusals.front();
+    m_refusals.pop_front();
+    return refusal;
+}
+
+LoadReport AdmissionQueue::report() const
+{
+    return { .running = static_cast<uint32_t>(m_running.size()),
+        .queued = static_cast<uint32_t>(m_waitingClass.size()),
+        .limit = m_limit.value() };
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/core/Balancer.cpp
@@ -0,0 +1,351 @@
+#include "Balancer.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr size_t exactRendezvousLimit = 64; // larger services take candidates from the ring
+constexpr size_t ringCandidates = 16;
+constexpr uint32_t maxEntryWeight = 8; // bounds the estimate of what other entries sent since a report
+constexpr Duration stateTrust = 3s; // a report's state overrules the candidate list for this long
+constexpr uint64_t ringSeed = 0; // the same at every entry
+
+uint64_t hashText(std::string_view text, uint64_t seed) { return XXH3_64bits_withSeed(text.data(), text.size(), seed); }
+
+uint64_t hashKey(const Id128& key, uint64_t salt) { return XXH3_64bits_withSeed(&key, sizeof(key), salt); }
+
+bool takesWork(UpstreamState state)
+{
+    return state == UpstreamState::Ready || state == UpstreamState::Cold || state == UpstreamState::Degraded;
+}
+
+} // namespace
+
+Balancer::Balancer(Location location, uint64_t seed, BalancerOptions options)
+    : m_location(std::move(location))
+    , m_seed(seed)
+    , m_options(options)
+    , m_random(seed)
+{
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Views
+//-----------------------------------------------------------------------------
+
+void Balancer::setCandidates(std::shared_ptr<const CandidateList> candidates, Instant now)
+{
+    m_candidates = std::move(candidates);
+    m_views.clear();
+    std::erase_if(m_loads, [&](const auto& entry) {
+        return !entry.second->outstanding && now - entry.second->reportedAt > m_options.reportLifetime;
+    });
+    std::erase_if(
+        m_paths, [&](const auto& entry) { return now - entry.second.blockedUntil > m_options.maxPathBackoff; });
+}
+
+size_t Balancer::tierOf(const Location& location) const
+{
+    if (location.region != m_location.region)
+        return 2;
+    return location.dataCentre == m_location.dataCentre ? 0 : 1;
+}
+
+Balancer::UpstreamLoad& Balancer::loadOf(std::string_view upstream)
+{
+    auto it = m_loads.find(upstream);
+    if (it == m_loads.end())
+        it = m_loads.emplace(std::string(upstream), std::make_unique<UpstreamLoad>()).first;
+    return *it->second;
+}
+
+Balancer::ServiceView& Balancer::viewOf(std::string_view service)
+{
+    auto it = m_views.find(service);
+    if (it == m_views.end())
+        it = m_views.emplace(std::string(service), buildView(service)).first;
+    return it->second;
+}
+
+std::span<const Candidate> Balancer::candidatesOf(std::string_view service) const
+{
+    auto first = std::lower_bound(m_candidates->begin(), m_candidates->end(), service,
+        [](const Candidate& candidate, std::string_view name) { return candidate.service < name; });
+    auto last = std::upper_bound(first, m_candidates->end(), service,
+        [](std::string_view name, const Candidate& candidate) { return name < candidate.service; });
+    return { first, last };
+}
+
+Balancer::ServiceView Balancer::buildView(std::string_view service)
+{
+    ServiceView view;
+    std::array<std::vector<RingPoint>, tierCount> ranked;
+    for (const Candidate& candidate : candidatesOf(service)) {
+        if (takesWork(candidate.state))
+            ranked[tierOf(candidate.location)].push_back({ hashText(candidate.upstream, m_seed), &candidate });
+    }
+    for (size_t i = 0; i < tierCount; ++i) {
+        std::vector<RingPoint>& tier = ranked[i];
+        size_t size = std::min<size_t>(tier.size(), m_options.subsetSize);
+        std::nth_element(tier.begin(), tier.begin() + static_cast<std::ptrdiff_t>(size), tier.end(),
+            [](const RingPoint& a, const RingPoint& b) { return a.hash < b.hash; });
+        view.tiers[i].reserve(size);
+        for (size_t n = 0; n < size; ++n)
+            view.tiers[i].push_back({ tier[n].candidate, &loadOf(tier[n].candidate->upstream) });
+    }
+    return view;
+}
+
+void Balancer::buildRing(ServiceView& view, std::string_view service) const
+{
+    view.hasRing = true;
+    bool hasOwnRegion = !view.tiers[0].empty() || !view.tiers[1].empty();
+    for (const Candidate& candidate : candidatesOf(service)) {
+        if (takesWork(candidate.state) && (!hasOwnRegion || candidate.location.region == m_location.region))
+            view.ring.push_back({ hashText(candidate.upstream, ringSeed), &candidate });
+    }
+    std::sort(
+        view.ring.begin(), view.ring.end(), [](const RingPoint& a, const RingPoint& b) { return a.hash < b.hash; });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Load of one upstream
+//-----------------------------------------------------------------------------
+
+UpstreamState Balancer::stateOf(const Member& member, Instant now) const
+{
+    UpstreamState listed = member.candidate->state;
+    if (!member.load->isReported || now - member.load->reportedAt > stateTrust)
+        return listed;
+    UpstreamState reported = member.load->report.state;
+    return std::max(listed, reported);
+}
+
+// Reported requests of others fade out as the report ages; the entry's own are always exact.
+double Balancer::knownLoad(const UpstreamLoad& load, Instant now) const
+{
+    if (!load.isReported)
+        return load.outstanding;
+    double age = static_cast<double>((now - load.reportedAt).count());
+    double weight = std::max(0.0, 1 - age / static_cast<double>(m_options.reportLifetime.count()));
+    uint32_t reported = load.report.running + load.report.queued;
+    uint32_t others = reported - std::min(reported, load.outstandingAtReport);
+    return load.outstanding + weight * others;
+}
+
+double Balancer::limitOf(const Member& member)
+{
+    uint32_t reported = member.load->isReported ? member.load->report.limit : 0;
+    return std::max(1U, reported ? reported : member.candidate->slots);
+}
+
+bool Balancer::isFull(const Member& member, Instant now) const
+{
+    double share = std::clamp(member.candidate->share, 0.0, 1.0);
+    return knownLoad(*member.load, now) >= std::max(1.0, share * limitOf(member));
+}
+
+// Other entries choose on the same stale reports. What this entry sent since the report stands for what
+// they sent, so that all of them do not pile onto the upstream that was idle last.
+double Balancer::score(const Member& member, Instant now) const
+{
+    uint32_t others = std::min(m_options.entryCount, maxEntryWeight);
+    double unreported = others > 1 ? member.load->sinceReport * (others - 1.0) : 0;
+    return (knownLoad(*member.load, now) + unreported + 1) / limitOf(member);
+}
+
+bool Balancer::isBlocked(const Candidate& candidate, Instant now) const
+{
+    if (m_paths.empty())
+        return false;
+    auto it = m_paths.find(candidate.node);
+    return it != m_paths.end() && now < it->second.blockedUntil;
+}
+
+bool Balancer::isEligible(const Member& member, const BalanceRequest& request, Pass pass, Instant now) const
+{
+    UpstreamState state = stateOf(member, now);
+    if (!takesWork(state))
+        return false;
+    if (std::find(request.exclude.begin(), request.exclude.end(), member.candidate->upstream) != request.exclude.end())
+        return false;
+    if (pass == Pass::BadPath)
+        return true;
+    if (isBlocked(*member.candidate, now))
+        return false;
+    switch (pass) {
+    case Pass::Free:
+        return state != UpstreamState::Degraded && !isFull(member, now);
+    case Pass::Degraded:
+        return state == UpstreamState::Degraded && !isFull(member, now);
+    case Pass::Full:
+        return state != UpstreamState::Degraded;
+    case Pass::BadPath:
+        break;
+    }
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choice
+//-----------------------------------------------------------------------------
+
+// An upstream that ramps up is taken with the probability of its share when it is drawn.
+bool Balancer::passesRamp(const Candidate& candidate)
+{
+    return candidate.share >= 1 || std::uniform_real_distribution<>()(m_random) < candidate.share;
+}
+
+// Least loaded eligible member, from a random start so that ties are spread.
+const Candidate* Balancer::scanTier(
+    const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now)
+{
+    const Candidate* best = nullptr;
+    double lowest = 0;
+    size_t start = m_random() % tier.size();
+    for (size_t i = 0; i < tier.size(); ++i) {
+        const Member& member = tier[(start + i) % tier.size()];
+        if (!isEligible(member, request, pass, now))
+            continue;
+        double value = score(member, now);
+        if (!best || value < lowest) {
+            best = member.candidate;
+            lowest = value;
+        }
+    }
+    return best;
+}
+
+const Candidate* Balancer::chooseInTier(
+    const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now)
+{
+    if (tier.empty())
+        return nullptr;
+    size_t n = tier.size();
+    size_t firstIndex = m_random() % n;
+    size_t secondIndex = n > 1 ? (firstIndex + 1 + m_random() % (n - 1)) % n : firstIndex;
+    const Member* chosen = nullptr;
+    for (const Member* member : { &tier[firstIndex], &tier[secondIndex] }) {
+        if (!isEligible(*member, request, pass, now) || !passesRamp(*member->candidate))
+            continue;
+        if (!chosen || score(*member, now) < score(*chosen, now))
+            chosen = member;
+    }
+    return chosen ? chosen->candidate : scanTier(tier, request, pass, now);
+}
+
+const Candidate* Balancer::chooseAffine(ServiceView& view, const BalanceRequest& request, Instant now)
+{
+    static const UpstreamLoad unknownLoad;
+    if (!view.hasRing)
+        buildRing(view, request.service);
+    if (view.ring.empty())
+        return nullptr;
+    const Candidate* best = nullptr;
+    uint64_t highest = 0;
+    auto consider = [&](const RingPoint& point) {
+        uint64_t weight = hashKey(*request.affinity, point.hash);
+        if (best && weight <= highest)
+            return;
+        const Candidate& candidate = *point.candidate;
+        if (candidate.state == UpstreamState::Degraded)
+            return;
+        auto it = m_loads.find(candidate.upstream);
+        Member member { &candidate, it == m_loads.end() ? &unknownLoad : it->second.get() };
+        if (!isEligible(member, request, Pass::Free, now))
+            return;
+        best = &candidate;
+        highest = weight;
+    };
+    if (view.ring.size() <= exactRendezvousLimit) {
+        std::for_each(view.ring.begin(), view.ring.end(), consider);
+        return best;
+    }
+    for (size_t i = 0; i < ringCandidates; ++i) {
+        uint64_t hash = hashKey(*request.affinity, i);
+        auto it = std::lower_bound(view.ring.begin(), view.ring.end(), hash,
+            [](const RingPoint& point, uint64_t value) { return point.hash < value; });
+        consider(it == view.ring.end() ? view.ring.front() : *it);
+    }
+    return best;
+}
+
+const Candidate* Balancer::choose(const BalanceRequest& request, Instant now)
+{
+    if (!m_candidates)
+        return nullptr;
+    ServiceView& view = viewOf(request.service);
+    if (request.affinity) {
+        if (const Candidate* candidate = chooseAffine(view, request, now))
+            return candidate;
+    }
+    for (Pass pass : { Pass::Free, Pass::Degraded, Pass::Full, Pass::BadPath }) {
+        for (const std::vector<Member>& tier : view.tiers) {
+            if (const Candidate* candidate = chooseInTier(tier, request, pass, now))
+                return candidate;
+        }
+    }
+    return nullptr;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Evidence
+//-----------------------------------------------------------------------------
+
+void Balancer::started(std::string_view upstream, Instant)
+{
+    UpstreamLoad& load = loadOf(upstream);
+    ++load.outstanding;
+    ++load.sinceReport;
+}
+
+void Balancer::finished(std::string_view upstream, const LoadReport& report, Instant now)
+{
+    UpstreamLoad& load = loadOf(upstream);
+    load.outstanding -= std::min(load.outstanding, 1U);
+    load.report = report;
+    load.reportedAt = now;
+    load.isReported = true;
+    load.outstandingAtReport = load.outstanding;
+    load.sinceReport = 0;
+}
+
+void Balancer::abandoned(std::string_view upstream, Instant)
+{
+    UpstreamLoad& load = loadOf(upstream);
+    load.outstanding -= std::min(load.outstanding, 1U);
+}
+
+void Balancer::pathResult(std::string_view node, bool reached, Instant now)
+{
+    auto it = m_paths.find(node);
+    if (reached) {
+        if (it != m_paths.end())
+            m_paths.erase(it);
+        return;
+    }
+    if (it == m_paths.end())
+        it = m_paths.emplace(std::string(node), PathState {}).first;
+    constexpr uint32_t maxDoublings = 10;
+    Duration backoff = m_options.pathBackoff * (1U << std::min(it->second.failures, maxDoublings));
+    ++it->second.failures;
+    it->second.blockedUntil = now + std::min(backoff, m_options.maxPathBackoff);
+}
+
+size_t Balancer::stateBytes() const
+{
+    constexpr size_t nodeOverhead = 4 * sizeof(void*);
+    size_t bytes = m_loads.size() * (sizeof(std::string) + sizeof(UpstreamLoad) + nodeOverhead);
+    bytes += m_paths.size() * (sizeof(std::string) + sizeof(PathState) + nodeOverhead);
+    for (const auto& [name, view] : m_views) {
+        bytes += sizeof(view) + view.ring.capacity() * sizeof(RingPoint);
+        for (const auto& tier : view.tiers)
+            bytes += tier.capacity() * sizeof(Member);
+    }
+    return bytes;
+}
+
+} // namespace Gooseberrymill
--- a/src/core/Balancer.h
+++ b/src/core/Balancer.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "Configuration.h"
+#include <random>
+#include <unordered_map>
 
 namespace Gooseberrymill {
 
@@ -44,4 +46,109 @@
     { balancer.pathResult(node, reached, now) }; // path evidence about a node
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Balancer
+//-----------------------------------------------------------------------------
+
+struct BalancerOptions {
+    uint32_t entryCount = 1; // entries that choose among the same upstreams; weighs choices not yet reported
+    uint32_t subsetSize = 32; // candidates per service and tier that this entry considers
+    Duration reportLifetime = 2s; // a load report loses its weight linearly over this time
+    Duration pathBackoff = 500ms; // after the first failure to reach a node; doubles on each further one
+    Duration maxPathBackoff = 30s;
+};
+
+// Power of two choices in the nearest tier (data centre, region, other regions) that has a free slot.
+//
+// - A farther tier is used only when every nearer upstream is full. Degraded upstreams come after the
+//   healthy ones of all tiers. When all are full, the request goes to the nearest tier and queues there.
+// - Each entry considers a subset of each tier, chosen by rendezvous hashing with its own seed, so that
+//   the cost of a choice and the state do not grow with the fleet.
+// - Affinity is by rendezvous hashing over the entry's region and does not depend on the seed.
+class Balancer {
+public:
+    Balancer(Location location, uint64_t seed, BalancerOptions options = {});
+
+    void setCandidates(std::shared_ptr<const CandidateList> candidates, Instant now);
+    const Candidate* choose(const BalanceRequest& request, Instant now);
+    void started(std::string_view upstream, Instant now);
+    void finished(std::string_view upstream, const LoadReport& load, Instant now);
+    void abandoned(std::string_view upstream, Instant now);
+    void pathResult(std::string_view node, bool reached, Instant now);
+
+    void setEntryCount(uint32_t count) { m_options.entryCount = count; }
+    size_t stateBytes() const; // approximate memory of the load states and indexes
+
+private:
+    static constexpr size_t tierCount = 3;
+
+    struct UpstreamLoad {
+        LoadReport report;
+        Instant reportedAt {};
+        bool isReported = false;
+        uint32_t outstanding = 0; // of this entry
+        uint32_t outstandingAtReport = 0; // part of `report.running` that is this entry's own
+        uint32_t sinceReport = 0; // sent since the report
+    };
+
+    struct PathState {
+        uint32_t failures = 0;
+        Instant blockedUntil {};
+    };
+
+    struct Member {
+        const Candidate* candidate = nullptr;
+        const UpstreamLoad* load = nullptr; // owned by m_loads, or an empty one
+    };
+
+    struct RingPoint {
+        uint64_t hash = 0;
+        const Candidate* candidate = nullptr;
+    };
+
+    struct ServiceView {
+        std::array<std::vector<Member>, tierCount> tiers;
+        std::vector<RingPoint> ring; // candidates of the own region (of all regions if it has none), by hash
+        bool hasRing = false; // built at the first request with affinity
+    };
+
+    struct StringHash {
+        using is_transparent = void; // NOLINT(readability-identifier-naming): name looked up by the library
+        size_t operator()(std::string_view text) const { return std::hash<std::string_view>()(text); }
+    };
+    template <typename T> using ByName = std::unordered_map<std::string, T, StringHash, std::equal_to<>>;
+
+    enum class Pass : uint8_t { Free, Degraded, Full, BadPath };
+
+    ServiceView& viewOf(std::string_view service);
+    ServiceView buildView(std::string_view service);
+    void buildRing(ServiceView& view, std::string_view service) const;
+    std::span<const Candidate> candidatesOf(std::string_view service) const;
+    size_t tierOf(const Location& location) const;
+    UpstreamLoad& loadOf(std::string_view upstream);
+    UpstreamState stateOf(const Member& member, Instant now) const;
+    bool isBlocked(const Candidate& candidate, Instant now) const;
+    bool isEligible(const Member& member, const BalanceRequest& request, Pass pass, Instant now) const;
+    double knownLoad(const UpstreamLoad& load, Instant now) const;
+    static double limitOf(const Member& member);
+    bool isFull(const Member& member, Instant now) const;
+    double score(const Member& member, Instant now) const;
+    const Candidate* chooseInTier(
+        const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now);
+    const Candidate* scanTier(const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now);
+    const Candidate* chooseAffine(ServiceView& view, const BalanceRequest& request, Instant now);
+    bool passesRamp(const Candidate& candidate);
+
+    Location m_location;
+    uint64_t m_seed;
+    BalancerOptions m_options;
+    std::mt19937_64 m_random;
+    std::shared_ptr<const CandidateList> m_candidates;
+    ByName<ServiceView> m_views; // built when a service is first asked for
+    ByName<std::unique_ptr<UpstreamLoad>> m_loads;
+    ByName<PathState> m_paths; // nodes with failures only
+};
+
+static_assert(Balancing<Balancer>);
+
 } // namespace Gooseberrymill
--- /dev/null
+++ b/src/core/LeastOutstandingBalancer.h
@@ -0,0 +1,62 @@
+// Baseline for Balancer: the upstream with the fewest outstanding requests of this entry, wherever it is.
+#pragma once
+
+#include "RoundRobinBalancer.h"
+#include <unordered_map>
+
+namespace Gooseberrymill {
+
+class LeastOutstandingBalancer {
+public:
+    LeastOutstandingBalancer() = default;
+    LeastOutstandingBalancer(const Location&, uint64_t seed)
+        : m_offset(seed)
+    {
+    }
+
+    void setCandidates(std::shared_ptr<const CandidateList> candidates, Instant)
+    {
+        m_candidates = std::move(candidates);
+    }
+
+    const Candidate* choose(const BalanceRequest& request, Instant)
+    {
+        if (!m_candidates)
+            return nullptr;
+        auto candidates = detail::candidatesOf(*m_candidates, request.service);
+        const Candidate* best = nullptr;
+        uint32_t fewest = 0;
+        ++m_offset; // ties rotate
+        for (size_t i = 0; i < candidates.size(); ++i) {
+            const Candidate& candidate = candidates[(m_offset + i) % candidates.size()];
+            if (!detail::isUsable(candidate, request.exclude))
+                continue;
+            auto it = m_outstanding.find(candidate.upstream);
+            uint32_t count = it == m_outstanding.end() ? 0 : it->second;
+            if (!best || count < fewest) {
+                best = &candidate;
+                fewest = count;
+            }
+        }
+        return best;
+    }
+
+    void started(std::string_view upstream, Instant) { ++m_outstanding[std::string(upstream)]; }
+    void finished(std::string_view upstream, const LoadReport&, Instant now) { abandoned(upstream, now); }
+    void abandoned(std::string_view upstream, Instant)
+    {
+        auto it = m_outstanding.find(std::string(upstream));
+        if (it != m_outstanding.end() && !--it->second)
+            m_outstanding.erase(it);
+    }
+    void pathResult(std::string_view, bool, Instant) { }
+
+private:
+    size_t m_offset = 0;
+    std::shared_ptr<const CandidateList> m_candidates;
+    std::unordered_map<std::string, uint32_t> m_outstanding;
+};
+
+static_assert(Balancing<LeastOutstandingBalancer>);
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/tests/AdmissionQueueTests.cpp
@@ -0,0 +1,372 @@
+#define BOOST_TEST_MODULE AdmissionQueue
+#include "Gooseberrymill.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <rapidcheck/boost_test.h>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+Instant at(Duration time) { return Instant(1000s + time); }
+
+AdmissionRequest request(TicketId ticket, WorkClass workClass, Instant deadline, uint32_t workKey = 1)
+{
+    return { ticket, workClass, workKey, deadline };
+}
+
+Service makeService(uint32_t slots)
+{
+    Service service;
+    service.slots = slots;
+    return service;
+}
+
+// Teaches the queue the usual length of a kind of work. Tickets count down from the top.
+void teach(AdmissionQueue& queue, uint32_t workKey, Duration length, Instant now, int samples = 200)
+{
+    static TicketId ticket = UINT64_MAX;
+    for (int i = 0; i < samples; ++i) {
+        --ticket;
+        BOOST_REQUIRE((queue.offer(request(ticket, WorkClass::Interactive, now + 1h, workKey), now).verdict
+            == AdmissionVerdict::Dispatch));
+        queue.finish(ticket, length, true, now);
+    }
+}
+
+std::vector<TicketId> takeAll(AdmissionQueue& queue, Instant now)
+{
+    std::vector<TicketId> tickets;
+    while (auto ticket = queue.takeReady(now))
+        tickets.push_back(*ticket);
+    return tickets;
+}
+
+std::map<TicketId, RefusalReason> expireAll(AdmissionQueue& queue, Instant now)
+{
+    std::map<TicketId, RefusalReason> refusals;
+    while (auto refusal = queue.takeExpired(now))
+        refusals[refusal->ticket] = refusal->reason;
+    return refusals;
+}
+
+} // namespace
+
+// Guards against payouts waiting behind reads when slots are short.
+BOOST_AUTO_TEST_CASE(criticalGoesFirst)
+{
+    AdmissionQueue queue(1, {});
+    BOOST_TEST(
+        (queue.offer(request(1, WorkClass::Interactive, at(10s)), at(0s)).verdict == AdmissionVerdict::Dispatch));
+    queue.offer(request(2, WorkClass::Interactive, at(10s)), at(0s));
+    queue.offer(request(3, WorkClass::Critical, at(20s)), at(0s));
+    queue.finish(1, 10ms, true, at(10ms));
+    BOOST_TEST(queue.takeReady(at(10ms)).value() == 3U);
+
+    FifoAdmission fifo(makeService(1));
+    fifo.offer(request(1, WorkClass::Interactive, at(10s)), at(0s));
+    fifo.offer(request(2, WorkClass::Interactive, at(10s)), at(0s));
+    fifo.offer(request(3, WorkClass::Critical, at(20s)), at(0s));
+    fifo.finish(1, 10ms, true, at(10ms));
+    BOOST_TEST(fifo.takeReady(at(10ms)).value() == 2U); // the baseline keeps the order of arrival
+}
+
+// Guards against an urgent request being served after one with time to spare.
+BOOST_AUTO_TEST_CASE(earliestDeadlineGoesFirstInsideAClass)
+{
+    AdmissionQueue queue(1, {});
+    queue.offer(request(1, WorkClass::Patient, at(60s)), at(0s));
+    queue.offer(request(2, WorkClass::Patient, at(50s)), at(0s));
+    queue.offer(request(3, WorkClass::Patient, at(30s)), at(0s));
+    queue.finish(1, 10ms, true, at(10ms));
+    BOOST_TEST(queue.takeReady(at(10ms)).value() == 3U);
+}
+
+// Guards against a class that never gets a slot while others keep the queue busy (design 1.2: no class
+// starves), and against shares that ignore the declared weights.
+BOOST_AUTO_TEST_CASE(noClassStarves)
+{
+    AdmissionPolicy policy;
+    policy.queueLimit = 100000;
+    AdmissionQueue queue(1, policy);
+    teach(queue, 1, 10ms, at(0s));
+    TicketId next = 0;
+    std::map<TicketId, WorkClass> classes;
+    auto add = [&](WorkClass workClass) {
+        classes[++next] = workClass;
+        queue.offer(request(next, workClass, at(10h)), at(0s));
+    };
+    add(WorkClass::Critical);
+    for (int i = 0; i < 1000; ++i) {
+        for (size_t c = 0; c < workClassCount; ++c)
+            add(static_cast<WorkClass>(c));
+    }
+    std::array<int, workClassCount> served {};
+    TicketId running = 1;
+    constexpr int turns = 900;
+    for (int i = 0; i < turns; ++i) {
+        queue.finish(running, 10ms, true, at(0s));
+        running = queue.takeReady(at(0s)).value();
+        ++served[static_cast<size_t>(classes[running])];
+    }
+    for (int count : served)
+        BOOST_TEST(count > 0);
+    BOOST_TEST(served[0] > turns * 0.9);
+    double ratio = static_cast<double>(served[1]) / served[3];
+    BOOST_TEST(ratio > 2.0); // declared weights 4 and 1
+    BOOST_TEST(served[1] > served[2]);
+}
+
+// Guards against a request that cannot be answered in time taking a slot or a place in the queue.
+BOOST_AUTO_TEST_CASE(shedsEarlyWhatCannotMakeItsDeadline)
+{
+    AdmissionQueue queue(1, {});
+    teach(queue, 1, 100ms, at(0s));
+    // 2 s hold 20 requests of 100 ms, so the rest of 40 cannot be answered in time.
+    int accepted = 0;
+    for (TicketId i = 1; i <= 40; ++i) {
+        AdmissionDecision decision = queue.offer(request(i, WorkClass::Interactive, at(2s)), at(0s));
+        if (decision.verdict != AdmissionVerdict::Refuse) {
+            ++accepted;
+            continue;
+        }
+        BOOST_TEST((decision.reason == RefusalReason::DeadlineUnreachable));
+        BOOST_TEST((decision.retryAfter >= Duration(1s)));
+    }
+    BOOST_TEST(accepted >= 18);
+    BOOST_TEST(accepted <= 20);
+    AdmissionDecision urgent = queue.offer(request(50, WorkClass::Interactive, at(50ms)), at(0s));
+    BOOST_TEST((urgent.reason == RefusalReason::DeadlineUnreachable));
+    AdmissionDecision inTime = queue.offer(request(21, WorkClass::Patient, at(30s)), at(0s));
+    BOOST_TEST((inTime.verdict == AdmissionVerdict::Queued));
+}
+
+// Guards against a waiting request being dispatched when its deadline can no longer be met.
+BOOST_AUTO_TEST_CASE(waitingRequestExpiresBeforeItsDeadline)
+{
+    AdmissionQueue queue(1, {});
+    teach(queue, 1, 100ms, at(0s));
+    queue.offer(request(1, WorkClass::Interactive, at(10s)), at(0s));
+    queue.offer(request(2, WorkClass::Interactive, at(400ms)), at(0s));
+    BOOST_TEST(expireAll(queue, at(100ms)).empty());
+    auto refusals = expireAll(queue, at(350ms)); // 50 ms are left for 100 ms of work
+    BOOST_REQUIRE(refusals.contains(2));
+    BOOST_TEST((refusals[2] == RefusalReason::DeadlineUnreachable));
+    queue.finish(1, 350ms, true, at(350ms));
+    BOOST_TEST(takeAll(queue, at(350ms)).empty());
+}
+
+// Guards against an estimate that was learned while the upstream was slow refusing all work for good.
+BOOST_AUTO_TEST_CASE(idleUpstreamTriesAgainAfterSlowPeriod)
+{
+    AdmissionQueue queue(2, {});
+    teach(queue, 1, 5s, at(0s));
+    AdmissionDecision decision = queue.offer(request(1, WorkClass::Interactive, at(1s)), at(0s));
+    BOOST_TEST((decision.verdict == AdmissionVerdict::Dispatch));
+    queue.finish(1, 10ms, true, at(10ms));
+    teach(queue, 1, 10ms, at(20ms));
+    BOOST_TEST((queue.expectedTime(1, at(20ms)) < Duration(100ms)));
+}
+
+// Guards against memory and waiting time that grow without bound; the baseline has no bound.
+BOOST_AUTO_TEST_CASE(queueIsBoundedAndDropsLeastImportant)
+{
+    AdmissionPolicy policy;
+    policy.queueLimit = 3;
+    AdmissionQueue queue(1, policy);
+    queue.offer(request(1, WorkClass::Critical, at(10s)), at(0s));
+    queue.offer(request(2, WorkClass::Patient, at(20s)), at(0s));
+    queue.offer(request(3, WorkClass::Background, at(10s)), at(0s));
+    queue.offer(request(4, WorkClass::Background, at(20s)), at(0s));
+    AdmissionDecision same = queue.offer(request(5, WorkClass::Background, at(5s)), at(0s));
+    BOOST_TEST((same.verdict == AdmissionVerdict::Refuse));
+    BOOST_TEST((same.reason == RefusalReason::QueueFull));
+    BOOST_TEST((queue.offer(request(6, WorkClass::Critical, at(10s)), at(0s)).verdict == AdmissionVerdict::Queued));
+    auto refusals = expireAll(queue, at(0s));
+    BOOST_TEST(refusals.size() == 1U);
+    BOOST_REQUIRE(refusals.contains(4)); // lowest class, latest deadline
+    BOOST_TEST((refusals[4] == RefusalReason::QueueFull));
+    BOOST_TEST(queue.report().queued == 3U);
+
+    FifoAdmission fifo(makeService(1));
+    for (TicketId i = 1; i <= 1000; ++i)
+        fifo.offer(request(i, WorkClass::Background, at(10s)), at(0s));
+    BOOST_TEST(fifo.report().queued == 999U);
+}
+
+// Guards against stragglers holding every slot while short requests wait (head-of-line blocking).
+BOOST_AUTO_TEST_CASE(longWorkLeavesReservedSlots)
+{
+    AdmissionPolicy policy;
+    policy.shortWorkSlots = 1;
+    AdmissionQueue queue(4, policy);
+    teach(queue, 1, 10ms, at(0s));
+    teach(queue, 2, 500ms, at(0s), 50);
+    teach(queue, 1, 10ms, at(0s));
+    BOOST_TEST(queue.isLong(2, at(0s)));
+    BOOST_TEST(!queue.isLong(1, at(0s)));
+    int dispatched = 0;
+    for (TicketId i = 1; i <= 10; ++i) {
+        auto decision = queue.offer(request(i, WorkClass::Interactive, at(1h), 2), at(0s));
+        dispatched += decision.verdict == AdmissionVerdict::Dispatch;
+    }
+    BOOST_TEST(dispatched == 3);
+    auto decision = queue.offer(request(100, WorkClass::Background, at(1h), 1), at(0s));
+    BOOST_TEST((decision.verdict == AdmissionVerdict::Dispatch));
+    queue.finish(100, 10ms, true, at(10ms));
+    // Long work still finishes: a freed long slot goes to the next long request.
+    queue.finish(1, 500ms, true, at(500ms));
+    BOOST_TEST(queue.takeReady(at(500ms)).value() == 4U);
+}
+
+// Guards against a service of long work only being stopped by the reserve.
+BOOST_AUTO_TEST_CASE(longWorkRunsWithASingleSlot)
+{
+    AdmissionPolicy policy;
+    policy.shortWorkSlots = 4;
+    AdmissionQueue queue(1, policy);
+    teach(queue, 1, 10ms, at(0s));
+    teach(queue, 2, 500ms, at(0s), 50);
+    teach(queue, 1, 10ms, at(0s));
+    auto decision = queue.offer(request(1, WorkClass::Interactive, at(1h), 2), at(0s));
+    BOOST_TEST((decision.verdict == AdmissionVerdict::Dispatch));
+}
+
+// Guards against a request whose caller left being dispatched later.
+BOOST_AUTO_TEST_CASE(cancelledRequestIsNotDispatched)
+{
+    AdmissionQueue queue(1, {});
+    queue.offer(request(1, WorkClass::Interactive, at(10s)), at(0s));
+    queue.offer(request(2, WorkClass::Interactive, at(10s)), at(0s));
+    BOOST_TEST(queue.cancel(2, at(0s)));
+    BOOST_TEST(!queue.cancel(2, at(0s)));
+    BOOST_TEST(!queue.cancel(1, at(0s))); // already dispatched
+    queue.finish(1, 10ms, true, at(10ms));
+    BOOST_TEST(!queue.takeReady(at(10ms)));
+}
+
+namespace {
+
+// Upstream with `real` slots: beyond them, service time grows in proportion. Returns the final limit.
+uint32_t limitAfterLoad(AdmissionQueue& queue, double real, Duration length, Instant& now, uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::lognormal_distribution<> spread(0, 0.5);
+    std::multimap<Instant, std::pair<TicketId, Instant>> running;
+    static TicketId ticket = 0;
+    Instant end = now + length;
+    auto start = [&](TicketId id) {
+        double slowdown = std::max(1.0, static_cast<double>(running.size() + 1) / real);
+        Duration time(static_cast<int64_t>(50'000 * spread(random) * slowdown));
+        running.emplace(now + time, std::pair(id, now));
+    };
+    int phase = 0;
+    while (now < end) {
+        now += 5ms;
+        while (!running.empty() && running.begin()->first <= now) {
+            auto [id, started] = running.begin()->second;
+            Duration time = running.begin()->first - started;
+            running.erase(running.begin());
+            queue.finish(id, time, true, now);
+        }
+        while (auto id = queue.takeReady(now))
+            start(*id);
+        while (queue.takeExpired(now)) { }
+        // Demand alternates between light and more than the upstream can take, second by second.
+        bool busy = (++phase / 200) % 2;
+        uint32_t wanted = busy ? 20 : 2;
+        while (queue.report().running + queue.report().queued < wanted) {
+            ++ticket;
+            auto decision = queue.offer(request(ticket, WorkClass::Interactive, now + 1h), now);
+            if (decision.verdict == AdmissionVerdict::Dispatch)
+                start(ticket);
+            else if (decision.verdict == AdmissionVerdict::Refuse)
+                break;
+        }
+    }
+    for (const auto& [finished, request] : running)
+        queue.finish(request.first, finished - request.second, true, std::max(now, finished));
+    now += 10s;
+    while (auto id = queue.takeReady(now))
+        queue.finish(*id, 50ms, false, now);
+    return queue.limit();
+}
+
+} // namespace
+
+// Guards against declared slots that the upstream does not have, and against a limit that stays low
+// after the upstream recovered or exceeds the declared slots.
+BOOST_AUTO_TEST_CASE(limitFollowsRealSlots)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        AdmissionQueue queue(8, {});
+        Instant now = at(0s);
+        uint32_t low = limitAfterLoad(queue, 3, 120s, now, seed);
+        BOOST_TEST(low <= 5U, "seed " << seed << " limit " << low);
+        BOOST_TEST(low >= 2U, "seed " << seed << " limit " << low);
+        uint32_t recovered = limitAfterLoad(queue, 8, 180s, now, seed);
+        BOOST_TEST(recovered >= 7U, "seed " << seed << " limit " << recovered);
+        BOOST_TEST(recovered <= 8U);
+    }
+}
+
+// Guards against a limit that is reduced although the declared slots are accurate.
+BOOST_AUTO_TEST_CASE(accurateSlotsKeepTheirLimit)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        AdmissionQueue queue(7, {});
+        Instant now = at(0s);
+        BOOST_TEST(limitAfterLoad(queue, 7, 120s, now, seed) >= 6U, "seed " << seed);
+    }
+}
+
+// Guards against a ticket that is lost or answered twice in any order of calls, a limit above the
+// declared slots and a queue above its bound.
+RC_BOOST_PROP(everyTicketIsAnsweredOnce, (const std::vector<std::tuple<uint8_t, uint8_t, uint16_t>>& steps))
+{
+    AdmissionPolicy policy;
+    policy.queueLimit = 5;
+    AdmissionQueue queue(3, policy);
+    std::map<TicketId, Instant> running;
+    std::map<TicketId, Instant> waiting;
+    Instant now = at(0s);
+    TicketId ticket = 0;
+    auto drain = [&] {
+        while (auto refusal = queue.takeExpired(now))
+            RC_ASSERT(waiting.erase(refusal->ticket) == 1U);
+        while (auto ready = queue.takeReady(now)) {
+            RC_ASSERT(waiting.erase(*ready) == 1U);
+            running.emplace(*ready, now);
+        }
+        while (auto refusal = queue.takeExpired(now))
+            RC_ASSERT(waiting.erase(refusal->ticket) == 1U);
+    };
+    for (auto [action, choice, pause] : steps) {
+        now += Duration(pause % 500) * 100;
+        if (action % 4 < 2) {
+            ++ticket;
+            auto workClass = static_cast<WorkClass>(choice % workClassCount);
+            auto decision
+                = queue.offer(request(ticket, workClass, now + Duration(1ms) * (pause % 700), choice % 3), now);
+            if (decision.verdict == AdmissionVerdict::Dispatch)
+                running.emplace(ticket, now);
+            else if (decision.verdict == AdmissionVerdict::Queued)
+                waiting.emplace(ticket, now);
+        } else if (action % 4 == 2 && !running.empty()) {
+            auto it = std::next(running.begin(), static_cast<std::ptrdiff_t>(choice % running.size()));
+            queue.finish(it->first, std::max(Duration(1), Duration(now - it->second)), choice % 5 != 0, now);
+            running.erase(it);
+        } else if (!waiting.empty()) {
+            auto it = std::next(waiting.begin(), static_cast<std::ptrdiff_t>(choice % waiting.size()));
+            RC_ASSERT(queue.cancel(it->first, now));
+            waiting.erase(it);
+        }
+        drain();
+        RC_ASSERT(queue.report().running == running.size());
+        RC_ASSERT(queue.report().queued == waiting.size());
+        RC_ASSERT(running.size() <= 3U);
+        RC_ASSERT(waiting.size() <= 5U);
+    }
+}
--- /dev/null
+++ b/tests/RetryBudgetTests.cpp
@@ -0,0 +1,168 @@
+#define BOOST_TEST_MODULE RetryBudget
+#include "Gooseberrymill.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+Instant at(Duration time) { return Instant(time); }
+
+AttemptState failedRead()
+{
+    return { .repeatable = true, .outcome = Outcome::Unknown, .attempts = 1, .deadlineLeft = 1s, .expected = 50ms };
+}
+
+HedgeState slowRead()
+{
+    return { .repeatable = true, .sameRegion = true, .elapsed = 200ms, .usual = 100ms, .deadlineLeft = 1s };
+}
+
+AttemptPolicy fundedPolicy(RetryPolicy policy, uint32_t requests = 1000)
+{
+    AttemptPolicy attempts(policy);
+    for (uint32_t i = 0; i < requests; ++i)
+        attempts.offered(at(1s));
+    return attempts;
+}
+
+// Retries granted when every attempt fails and asks again, against offered requests.
+template <Retrying Policy> double amplification(Policy policy)
+{
+    constexpr int requests = 5000;
+    int attempts = 0;
+    for (int i = 0; i < requests; ++i) {
+        Instant now = at(1ms * i);
+        policy.offered(now);
+        AttemptState state = failedRead();
+        ++attempts;
+        while (policy.mayRetry(state, now)) {
+            ++state.attempts;
+            ++attempts;
+        }
+    }
+    return static_cast<double>(attempts) / requests;
+}
+
+} // namespace
+
+// Guards against a retry storm when every attempt fails. Bound: design 1.2, 1.2 times the offered load.
+BOOST_AUTO_TEST_CASE(totalFailureStaysWithinBound)
+{
+    constexpr double bound = 1.2;
+    BOOST_TEST(amplification(AttemptPolicy(RetryPolicy {})) <= bound);
+    BOOST_TEST(amplification(ThreeRetries()) > bound); // the baseline misses it
+}
+
+// Guards against a constant allowance, which exceeds the bound at low rates.
+BOOST_AUTO_TEST_CASE(lowRateHasNoFreeRetries)
+{
+    RetryBudget budget(0.1);
+    BOOST_TEST(!budget.take(at(0s)));
+    for (int i = 0; i < 9; ++i)
+        budget.offered(at(1s * i));
+    BOOST_TEST(!budget.take(at(9s)));
+    budget.offered(at(9s));
+    BOOST_TEST(budget.take(at(9s)));
+    BOOST_TEST(!budget.take(at(9s)));
+}
+
+// Guards against tokens saved up in a busy period being spent long after it.
+BOOST_AUTO_TEST_CASE(savedTokensExpireWithTheOfferedLoad)
+{
+    RetryBudget budget(0.1);
+    for (int i = 0; i < 1000; ++i)
+        budget.offered(at(1s));
+    BOOST_TEST(budget.tokens(at(1s)) == 100.0, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(budget.tokens(at(11s)) == 0.0);
+    BOOST_TEST(!budget.take(at(11s)));
+}
+
+// Guards against any schedule in which attempts granted in 10 s exceed a tenth of what was offered in
+// those 10 s and the 10 s before, which is what the bucket may hold at the start of the window.
+RC_BOOST_PROP(noScheduleExceedsTheBucket, (const std::vector<std::pair<uint16_t, bool>>& steps))
+{
+    RetryBudget budget(0.1);
+    Instant now {};
+    std::vector<Instant> offers;
+    std::vector<Instant> grants;
+    for (auto [pause, retry] : steps) {
+        now += Duration(1ms) * (pause % 2000);
+        for (int i = 0; i < 7; ++i) {
+            budget.offered(now);
+            offers.push_back(now);
+        }
+        while (retry && budget.take(now))
+            grants.push_back(now);
+    }
+    for (Instant start : grants) {
+        auto granted
+            = std::count_if(grants.begin(), grants.end(), [&](Instant t) { return t >= start && t < start + 10s; });
+        auto offered = std::count_if(
+            offers.begin(), offers.end(), [&](Instant t) { return t > start - 11s && t < start + 10s; });
+        RC_ASSERT(static_cast<double>(granted) <= 0.1 * static_cast<double>(offered) + 1e-6);
+    }
+}
+
+// Guards against a second run of a request that must not run twice.
+BOOST_AUTO_TEST_CASE(nonRepeatableIsRetriedOnlyWhenNotRun)
+{
+    AttemptPolicy policy = fundedPolicy({});
+    AttemptState state = failedRead();
+    state.repeatable = false;
+    for (Outcome outcome : { Outcome::Unknown, Outcome::Ran }) {
+        state.outcome = outcome;
+        BOOST_TEST(!policy.mayRetry(state, at(1s)));
+    }
+    state.outcome = Outcome::NotRun;
+    BOOST_TEST(policy.mayRetry(state, at(1s)));
+}
+
+// Guards against attempts that cannot be answered in time, and against more than the declared number.
+BOOST_AUTO_TEST_CASE(respectsDeadlineAndMaxAttempts)
+{
+    AttemptPolicy policy = fundedPolicy({});
+    AttemptState state = failedRead();
+    state.deadlineLeft = state.expected;
+    BOOST_TEST(!policy.mayRetry(state, at(1s)));
+    state = failedRead();
+    state.attempts = RetryPolicy {}.maxAttempts;
+    BOOST_TEST(!policy.mayRetry(state, at(1s)));
+}
+
+// Guards against a refused attempt using up the budget of others.
+BOOST_AUTO_TEST_CASE(refusedAttemptCostsNoToken)
+{
+    AttemptPolicy policy = fundedPolicy({}, 10); // one token
+    AttemptState state = failedRead();
+    state.deadlineLeft = Duration::zero();
+    BOOST_TEST(!policy.mayRetry(state, at(1s)));
+    BOOST_TEST(policy.mayRetry(failedRead(), at(1s)));
+    BOOST_TEST(!policy.mayRetry(failedRead(), at(1s)));
+}
+
+// Guards against hedges across regions, of requests that may not be repeated, or before they are late.
+BOOST_AUTO_TEST_CASE(hedgesOnlyLateRepeatableReadsOfTheRegion)
+{
+    RetryPolicy policy;
+    BOOST_TEST(!fundedPolicy(policy).mayHedge(slowRead(), at(1s))); // off unless configured
+    policy.hedge = true;
+    AttemptPolicy attempts = fundedPolicy(policy);
+    BOOST_TEST(attempts.mayHedge(slowRead(), at(1s)));
+    HedgeState hedge = slowRead();
+    hedge.sameRegion = false;
+    BOOST_TEST(!attempts.mayHedge(hedge, at(1s)));
+    hedge = slowRead();
+    hedge.repeatable = false;
+    BOOST_TEST(!attempts.mayHedge(hedge, at(1s)));
+    hedge = slowRead();
+    hedge.elapsed = hedge.usual / 2;
+    BOOST_TEST(!attempts.mayHedge(hedge, at(1s)));
+    hedge = slowRead();
+    hedge.attempts = 2;
+    BOOST_TEST(!attempts.mayHedge(hedge, at(1s)));
+    AttemptPolicy unfunded(policy);
+    BOOST_TEST(!unfunded.mayHedge(slowRead(), at(1s)));
+}
