--- a/src/core/FifoAdmission.h
+++ b/src/core/FifoAdmission.h
@@ -1,83 +1,64 @@
-// Plain admission: a first-in, first-out queue with a fixed number of slots. Baseline for AdmissionQueue.
+// Baseline for AdmissionQueue: unbounded first-in first-out queue with a fixed limit.
 #pragma once
 
 #include "Admission.h"
-
 #include <algorithm>
 #include <deque>
-#include <set>
+#include <unordered_set>
 
 namespace Gooseberrymill {
 
 class FifoAdmission {
 public:
-    FifoAdmission(uint32_t slots, uint32_t queueLimit)
-        : m_slots(slots)
-        , m_queueLimit(queueLimit)
+    explicit FifoAdmission(const Service& service)
+        : m_slots(std::max(1U, service.slots))
     {
     }
 
-    void setSlots(uint32_t slots) { m_slots = slots; }
-
-    AdmissionDecision offer(const AdmissionRequest& request, Instant now)
+    AdmissionDecision offer(const AdmissionRequest& request, Instant)
     {
-        constexpr Duration retryAfter = 1s;
-        if (request.deadline <= now)
-            return { AdmissionVerdict::Refuse, RefusalReason::DeadlineExceeded, {} };
         if (m_waiting.empty() && m_running.size() < m_slots) {
             m_running.insert(request.ticket);
-            return { AdmissionVerdict::Dispatch, RefusalReason::None, {} };
+            return { .verdict = AdmissionVerdict::Dispatch };
         }
-        if (m_waiting.size() >= m_queueLimit)
-            return { AdmissionVerdict::Refuse, RefusalReason::QueueFull, retryAfter };
-        m_waiting.push_back({ request.ticket, request.deadline });
-        return { AdmissionVerdict::Queued, RefusalReason::None, {} };
+        m_waiting.push_back(request.ticket);
+        return { .verdict = AdmissionVerdict::Queued };
     }
 
-    void finish(TicketId ticket, Duration /*length*/, bool /*completed*/, Instant /*now*/) { m_running.erase(ticket); }
+    void finish(TicketId ticket, Duration, bool, Instant) { m_running.erase(ticket); }
 
-    bool cancel(TicketId ticket, Instant /*now*/)
+    bool cancel(TicketId ticket, Instant)
     {
-        return std::erase_if(m_waiting, [&](const Waiting& waiting) { return waiting.ticket == ticket; }) > 0;
+        auto it = std::find(m_waiting.begin(), m_waiting.end(), ticket);
+        if (it == m_waiting.end())
+            return false;
+        m_waiting.erase(it);
+        return true;
     }
 
-    std::optional<TicketId> takeReady(Instant now)
+    std::optional<TicketId> takeReady(Instant)
     {
-        auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting& w) { return w.deadline > now; });
-        if (m_running.size() >= m_slots || it == m_waiting.end())
+        if (m_waiting.empty() || m_running.size() >= m_slots)
             return std::nullopt;
-        TicketId ticket = it->ticket;
-        m_waiting.erase(it);
+        TicketId ticket = m_waiting.front();
+        m_waiting.pop_front();
         m_running.insert(ticket);
         return ticket;
     }
 
-    std::optional<AdmissionRefusal> takeExpired(Instant now)
-    {
-        auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting& w) { return w.deadline <= now; });
-        if (it == m_waiting.end())
-            return std::nullopt;
-        TicketId ticket = it->ticket;
-        m_waiting.erase(it);
-        return AdmissionRefusal { ticket, RefusalReason::DeadlineExceeded };
-    }
+    std::optional<AdmissionRefusal> takeExpired(Instant) { return std::nullopt; }
 
     LoadReport report() const
     {
-        return { static_cast<uint32_t>(m_running.size()), static_cast<uint32_t>(m_waiting.size()), m_slots,
-            UpstreamState::Ready };
+        return { .running = static_cast<uint32_t>(m_running.size()),
+            .queued = static_cast<uint32_t>(m_waiting.size()),
+            .limit = m_slots };
     }
 
 private:
-    struct Waiting {
-        TicketId ticket = 0;
-        Instant deadline {};
-    };
-
     uint32_t m_slots;
-    uint32_t m_queueLimit;
-    std::set<TicketId> m_running;
-    std::deque<Waiting> m_waiting;
+    std::deque<TicketId> m_waiting;
+    std::unordered_set<TicketId> m_running;
 };
 
 static_assert(Admission<FifoAdmission>);
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -33,7 +33,7 @@
 };
 
 // The gate's decision about a request that names an operation.
-struct OperationDecision {
+struct GateDecision {
     enum class Kind : uint8_t { Run, Respond, Refuse };
     Kind kind = Kind::Run;
     std::shared_ptr<const StoredResponse> response; // with Respond
@@ -44,7 +44,7 @@
 struct OperationGate {
     // Asked once the whole request is here and before it is queued; `decide` runs once, now or later. An inquiry
     // is never answered with Run.
-    std::function<void(const RequestHead&, std::string_view body, std::function<void(OperationDecision)> decide)> begin;
+    std::function<void(const RequestHead&, std::string_view body, std::function<void(GateDecision)> decide)> begin;
     // The response is complete. `response` is null when it was too large to keep.
     std::function<void(const RequestHead&, std::shared_ptr<const StoredResponse> response)> settle;
     // The operation ended without a complete response. NotRun: it may run again.
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -151,17 +151,17 @@
             admit();
         return;
     }
-    gate.begin(head(), m_body, [weak = weak_from_this()](OperationDecision decision) {
+    gate.begin(head(), m_body, [weak = weak_from_this()](GateDecision decision) {
         if (auto self = weak.lock(); self && !self->m_ended)
             self->onDecision(std::move(decision));
     });
 }
 
-void ExecutorJob::onDecision(OperationDecision&& decision)
+void ExecutorJob::onDecision(GateDecision&& decision)
 {
-    if (decision.kind == OperationDecision::Kind::Respond) {
+    if (decision.kind == GateDecision::Kind::Respond) {
         respond(*decision.response);
-    } else if (decision.kind == OperationDecision::Kind::Refuse) {
+    } else if (decision.kind == GateDecision::Kind::Refuse) {
         refuse(std::move(decision.refusal));
     } else if (head().inquiry) {
         refuse(Outcome::Unknown, RefusalReason::HolderGone, "executor.inquiry");
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -26,7 +26,7 @@
     void onChunk(std::string&&);
     void onBodyEnd();
     void askGate();
-    void onDecision(OperationDecision&&);
+    void onDecision(GateDecision&&);
     void respond(const StoredResponse&);
     void admit();
     void onHead(ResponseHead&&);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,7 +1,6 @@
 #include "Node.h"
 
-#include "core/FifoAdmission.h"
-#include "core/RoundRobinBalancer.h"
+#include "core/AdmissionQueue.h"
 #include "FleetAuth.h"
 #include "Log.h"
 
@@ -44,10 +43,9 @@
     m_executorTask->start();
     std::optional<Error> failure;
     runOn(*m_executorTask, [&] {
-        auto makeQueue = [](const UpstreamEndpoint& endpoint) {
-            return FifoAdmission(endpoint.slots, AdmissionPolicy().queueLimit);
-        };
-        m_executor = std::make_unique<Executor<FifoAdmission>>(
+        auto makeQueue
+            = [](const UpstreamEndpoint& endpoint) { return AdmissionQueue(endpoint.slots, AdmissionPolicy()); };
+        m_executor = std::make_unique<Executor<AdmissionQueue>>(
             *m_executorTask, m_settings, m_identity, m_executorHooks, makeQueue);
         auto port = m_executor->listen(m_settings.relayListen);
         if (port)
@@ -67,8 +65,8 @@
         worker.task = std::make_unique<Task>(fmt::format("entry-{}", i), Task::Thread::New);
         worker.task->start();
         runOn(*worker.task, [&] {
-            worker.entry = std::make_unique<EntryServer<RoundRobinBalancer>>(
-                *worker.task, m_settings, m_identity, m_entryHooks, RoundRobinBalancer());
+            worker.entry = std::make_unique<EntryServer<Balancer>>(
+                *worker.task, m_settings, m_identity, m_entryHooks, Balancer(m_settings.location, randomId().low));
             auto port = worker.entry->listen(m_settings.callerListen.host, m_callerPort);
             if (port)
                 m_callerPort = port.value();
