--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -33,6 +33,7 @@
 #include "core/Balancer.h" // choice of an upstream
 #include "core/Basics.h" // time, identifiers, outcomes, errors
 #include "core/Configuration.h" // services, routes, policies
+#include "core/ConfigurationLedger.h" // documents in force and how they spread
 #include "core/Ejection.h" // floor-safe ejection
 #include "core/Health.h" // evidence and verdicts
 #include "core/Membership.h" // failure detection and dissemination
--- /dev/null
+++ b/src/core/Membership.cpp
@@ -0,0 +1,1144 @@
+#include "Membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+#include <cmath>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr size_t datagramOverhead = 28; // IP and UDP headers, counted against the budget
+constexpr size_t messageFixedBytes = 104; // version, incarnation, sequence, kind, numbers, counts and MAC
+constexpr size_t updateFixedBytes = 24;
+constexpr size_t identityFixedBytes = 30;
+constexpr size_t upstreamFixedBytes = 24;
+constexpr size_t workSummaryBytes = 20;
+constexpr size_t maxContradictionsPerTick = 4;
+constexpr size_t leaveFanout = 8;
+constexpr size_t leaveRepeats = 4; // rounds that repeat a leave
+constexpr size_t maxProbes = 64;
+constexpr size_t maxHealthSummaries = 1024;
+constexpr size_t maxQueuedUpdates = 4096;
+constexpr size_t repairGroup = 8; // about as many members in one part of the table comparison
+constexpr uint64_t partBitsShift = 56; // a part is its number of bits plus one, then its bits
+constexpr uint64_t maxPartBits = 32;
+constexpr Duration minCatchUpInterval = 1s; // between tables asked for because a peer knows more members
+constexpr size_t catchUpSlack = 256; // large fleets always differ by a few members that are just joining
+constexpr Duration syncTimeout = 500ms;
+constexpr Duration minSyncInterval = 2s;
+constexpr Duration pauseThreshold = 500ms; // a longer gap between ticks means that this process was paused
+
+// FNV-1a; spreads names over the ring. Stable between releases, since all nodes must agree.
+uint64_t hashName(std::string_view name)
+{
+    uint64_t hash = 0xcbf29ce484222325ULL;
+    for (char c : name)
+        hash = (hash ^ static_cast<uint8_t>(c)) * 0x100000001b3ULL;
+    hash ^= hash >> 32;
+    return hash * 0x9e3779b97f4a7c15ULL;
+}
+
+// Precedence of statuses at equal counters: bad news wins, since only the member itself raises the counter.
+int rank(NodeStatus status) { return static_cast<int>(status); }
+
+bool isUrgent(UpstreamState state)
+{
+    return state == UpstreamState::Draining || state == UpstreamState::Ejected || state == UpstreamState::Degraded
+        || state == UpstreamState::Gone;
+}
+
+bool isNewer(uint64_t startedAt, const Id128& incarnation, const NodeRecord& than)
+{
+    return std::pair(startedAt, incarnation) > std::pair(than.startedAt, than.incarnation);
+}
+
+} // namespace
+
+std::string_view toString(NodeStatus status)
+{
+    constexpr std::array<std::string_view, 4> names { "alive", "suspect", "dead", "left" };
+    auto index = static_cast<size_t>(status);
+    return index < names.size() ? names[index] : std::string_view("invalid");
+}
+
+size_t encodedSizeBound(const MemberUpdate& update)
+{
+    size_t n = updateFixedBytes;
+    if (const auto& identity = update.identity) {
+        n += identityFixedBytes + identity->name.size() + identity->gossipAddress.size() + identity->relayAddress.size()
+            + identity->location.region.size() + identity->location.dataCentre.size();
+    }
+    for (const VersionedUpstream& it : update.upstreams)
+        n += upstreamFixedBytes + it.record.name.size() + it.record.service.size();
+    return n;
+}
+
+size_t encodedSizeBound(const HealthSummary& summary)
+{
+    return 2 + summary.upstream.size() + summary.work.size() * workSummaryBytes;
+}
+
+size_t encodedSizeBound(const GossipMessage& message)
+{
+    size_t n = messageFixedBytes + message.sender.size() + message.targetAddress.size() + message.cursor.size()
+        + message.wanted.size() * sizeof(uint64_t);
+    for (const MemberUpdate& it : message.updates)
+        n += encodedSizeBound(it);
+    for (const HealthSummary& it : message.health)
+        n += encodedSizeBound(it);
+    return n;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Construction and input
+//-----------------------------------------------------------------------------
+
+Membership::Membership(MembershipSettings settings, NodeRecord self, uint64_t seed, Instant now)
+    : m_settings(std::move(settings))
+    , m_random(seed)
+    , m_tokens(m_settings.burstBytes)
+    , m_syncTokens(m_settings.syncBytesPerSecond)
+    , m_startedAt(now)
+    , m_lastTick(now)
+    , m_lastReceived(now)
+{
+    assert(!self.name.empty() && self.name.size() <= maxNameBytes);
+    std::string name = self.name;
+    Member& member = m_members[name];
+    member.record = std::move(self);
+    member.record.status = NodeStatus::Alive;
+    member.versions.assign(member.record.upstreams.size(), 1);
+    member.revision = static_cast<uint32_t>(member.versions.size());
+    member.key = memberKey(member.record.incarnation);
+    member.ringPosition = hashName(name);
+    member.statusSince = now;
+    member.lastHeard = now;
+    m_keys[member.key] = &member;
+    m_self = &member;
+    // Nodes started together must not probe in step.
+    auto offset = [&](Duration period) { return now + Duration(random(static_cast<size_t>(period.count()))); };
+    m_nextProbeAt = offset(m_settings.probePeriod);
+    m_nextSpreadAt = offset(m_settings.gossipPeriod);
+    m_nextRetryAt = now;
+    m_nextRepairAt = offset(m_settings.repairPeriod);
+}
+
+void Membership::tick(Instant now)
+{
+    assert(now >= m_lastTick);
+    Duration gap = now - m_lastTick;
+    m_lastTick = now;
+    double seconds = std::chrono::duration<double>(gap).count();
+    m_tokens = std::min(m_settings.burstBytes, m_tokens + seconds * m_settings.bytesPerSecond);
+    m_syncTokens = std::min(m_settings.syncBytesPerSecond, m_syncTokens + seconds * m_settings.syncBytesPerSecond);
+    m_contradictions = 0;
+    if (gap > pauseThreshold) {
+        // Answers may wait unread in the socket, so silence in the gap is no evidence against anyone.
+        m_probes.clear();
+        for (auto& [name, member] : m_members) {
+            if (member.record.status == NodeStatus::Suspect)
+                member.statusSince += gap;
+        }
+    }
+    checkProbes(now);
+    checkStatuses(now);
+    if (m_self->record.status == NodeStatus::Alive && now >= m_nextProbeAt) {
+        m_nextProbeAt = std::max(m_nextProbeAt + m_settings.probePeriod, now);
+        probeNext(now);
+    }
+    if (now >= m_nextSpreadAt) {
+        m_nextSpreadAt = std::max(m_nextSpreadAt + m_settings.gossipPeriod, now);
+        spread(now);
+    }
+    if (m_self->record.status != NodeStatus::Alive)
+        return;
+    if (now >= m_nextRetryAt) {
+        m_nextRetryAt = now + m_settings.retryPeriod;
+        retryLost(now);
+    }
+    if (now >= m_nextRepairAt) {
+        m_nextRepairAt = now + m_settings.repairPeriod;
+        repair();
+    }
+    if (m_syncCursor && now - m_syncSentAt >= syncTimeout) {
+        auto others = randomMembers(1);
+        requestSync(others.empty() ? m_syncPeer : others.front()->record.gossipAddress, now);
+    }
+}
+
+void Membership::received(const GossipMessage& message, std::string_view from, Instant now)
+{
+    uint64_t key = memberKey(message.incarnation);
+    if (key == m_self->key)
+        return; // an own datagram that came back
+    auto known = m_members.find(message.sender);
+    if (known != m_members.end() && known->second.key != key
+        && !isNewer(message.startedAt, message.incarnation, known->second.record)) {
+        ++m_counters.obsolete;
+        return;
+    }
+    m_lastReceived = now;
+    std::vector<uint64_t> wanted;
+    m_isApplyingTable = message.kind == GossipKind::SyncReply;
+    for (const MemberUpdate& update : message.updates)
+        apply(update, wanted, now);
+    Member* sender = byKey(key);
+    if (sender)
+        sender->lastHeard = now;
+    if (!sender || sender->revision < message.revision)
+        wanted.push_back(key);
+    std::ranges::sort(wanted);
+    wanted.erase(std::ranges::unique(wanted).begin(), wanted.end());
+    if (message.configurationDigest != m_configurationDigest && sender) {
+        report(MemberEvent::DigestSeen, *sender);
+        m_changes.back().configurationDigest = message.configurationDigest;
+    }
+    Duration catchUpInterval = now - m_startedAt <= m_settings.joinPhase ? minCatchUpInterval : minSyncInterval;
+    if (sender && message.liveCount > m_live + m_live / catchUpSlack && !m_syncCursor
+        && now - m_lastSync >= catchUpInterval && m_self->record.status == NodeStatus::Alive) {
+        m_syncCursor = "";
+        requestSync(std::string(from), now);
+    }
+    if (!wanted.empty() && message.kind != GossipKind::SyncReply && m_self->record.status == NodeStatus::Alive) {
+        GossipMessage request = makeMessage(GossipKind::SyncRequest);
+        wanted.resize(std::min(wanted.size(), maxWantedPerMessage));
+        request.wanted = std::move(wanted);
+        introduce(request);
+        send(std::string(from), std::move(request));
+    }
+
+    switch (message.kind) {
+    case GossipKind::Ping: {
+        GossipMessage ack = makeMessage(GossipKind::Ack);
+        ack.probe = message.probe;
+        if (m_self->record.status != NodeStatus::Alive)
+            ack.updates.push_back(makeUpdate(*m_self, false, {}));
+        // A sender that this node holds dead learns so from the answer and refutes.
+        if (sender && sender->record.status != NodeStatus::Alive)
+            ack.updates.push_back(makeUpdate(*sender, false, {}));
+        fill(ack);
+        send(std::string(from), std::move(ack));
+        break;
+    }
+    case GossipKind::Ack: {
+        auto it = std::ranges::find(m_probes, message.probe, &Probe::number);
+        if (it == m_probes.end())
+            break;
+        Probe probe = *it;
+        m_probes.erase(it);
+        if (!probe.replyAddress.empty()) {
+            GossipMessage ack = makeMessage(GossipKind::Ack);
+            ack.probe = probe.replyNumber;
+            send(probe.replyAddress, std::move(ack));
+        } else if (!probe.key && now - m_lastSync >= minSyncInterval) {
+            // A lost address answers again: a partition may have healed.
+            m_syncCursor = "";
+            requestSync(std::string(from), now);
+        }
+        break;
+    }
+    case GossipKind::PingRequest: {
+        if (m_probes.size() >= maxProbes || message.targetAddress.empty())
+            break;
+        Probe probe { m_nextProbe++, message.target, now, true, std::string(from), message.probe };
+        GossipMessage ping = makeMessage(GossipKind::Ping);
+        ping.probe = probe.number;
+        m_probes.push_back(std::move(probe));
+        if (const Member* target = byKey(message.target); target && target->record.status != NodeStatus::Alive)
+            ping.updates.push_back(makeUpdate(*target, false, {}));
+        send(message.targetAddress, std::move(ping));
+        break;
+    }
+    case GossipKind::SyncRequest:
+        answerSync(message, from);
+        break;
+    case GossipKind::SyncReply:
+        continueSync(message, from, now);
+        break;
+    case GossipKind::Health:
+        for (const HealthSummary& summary : message.health) {
+            if (!sender)
+                break;
+            auto it = std::ranges::find(sender->record.upstreams, summary.upstream, &UpstreamRecord::name);
+            if (it == sender->record.upstreams.end())
+                continue;
+            if (m_health.size() < maxHealthSummaries || m_health.contains(summary.upstream))
+                m_health[summary.upstream] = { summary, it->service, now };
+        }
+        break;
+    case GossipKind::Leave:
+    case GossipKind::Update:
+        break;
+    }
+}
+
+void Membership::setUpstream(const UpstreamRecord& upstream, Instant now)
+{
+    assert(upstream.name.size() <= maxNameBytes && upstream.service.size() <= maxNameBytes);
+    NodeRecord& record = m_self->record;
+    auto it = std::ranges::find(record.upstreams, upstream.name, &UpstreamRecord::name);
+    if (it == record.upstreams.end()) {
+        record.upstreams.push_back(upstream);
+        m_self->versions.push_back(1);
+        ++m_self->revision;
+    } else {
+        if (*it == upstream)
+            return;
+        *it = upstream;
+        ++m_self->versions[static_cast<size_t>(it - record.upstreams.begin())];
+        ++m_self->revision;
+    }
+    bool urgent = isUrgent(upstream.state);
+    enqueue(*m_self, false, { upstream.name }, urgent);
+    report(MemberEvent::UpstreamChanged, *m_self, upstream.name);
+    if (!urgent)
+        return;
+    std::array<std::string, 1> names { upstream.name };
+    for (const Member* it2 : randomMembers(m_settings.urgentFanout)) {
+        GossipMessage message = makeMessage(GossipKind::Update);
+        message.updates.push_back(makeUpdate(*m_self, false, names));
+        send(it2->record.gossipAddress, std::move(message));
+    }
+    m_nextSpreadAt = std::min(m_nextSpreadAt, now + m_settings.gossipPeriod);
+}
+
+void Membership::leave(Instant now)
+{
+    if (m_self->record.status == NodeStatus::Left)
+        return;
+    setStatus(*m_self, NodeStatus::Left, m_self->record.counter + 1, now);
+    for (const Member* it : randomMembers(leaveFanout)) {
+        GossipMessage message = makeMessage(GossipKind::Leave);
+        message.updates.push_back(makeUpdate(*m_self, false, {}));
+        send(it->record.gossipAddress, std::move(message));
+    }
+}
+
+void Membership::sendHealth(const HealthSummary& summary, Instant)
+{
+    auto own = std::ranges::find(m_self->record.upstreams, summary.upstream, &UpstreamRecord::name);
+    if (own == m_self->record.upstreams.end() || summary.work.size() > maxSummaryWork)
+        return;
+    for (const auto& [name, member] : m_members) {
+        if (&member == m_self || !isLive(member))
+            continue;
+        bool isPeer = std::ranges::any_of(member.record.upstreams,
+            [&](const UpstreamRecord& it) { return it.service == own->service && it.state != UpstreamState::Gone; });
+        if (!isPeer)
+            continue;
+        GossipMessage message = makeMessage(GossipKind::Health);
+        message.health.push_back(summary);
+        send(member.record.gossipAddress, std::move(message));
+    }
+}
+
+std::vector<OutgoingGossip> Membership::takeMessages() { return std::exchange(m_messages, {}); }
+std::vector<MembershipChange> Membership::takeChanges() { return std::exchange(m_changes, {}); }
+
+//-----------------------------------------------------------------------------
+// [SECTION] View
+//-----------------------------------------------------------------------------
+
+const NodeRecord* Membership::find(std::string_view name) const
+{
+    auto it = m_members.find(name);
+    return it == m_members.end() ? nullptr : &it->second.record;
+}
+
+void Membership::forEach(const std::function<void(const NodeRecord&)>& function) const
+{
+    for (const auto& [name, member] : m_members)
+        function(member.record);
+}
+
+Duration Membership::age(std::string_view name, Instant now) const
+{
+    auto it = m_members.find(name);
+    if (it == m_members.end())
+        return Duration::max();
+    const Member& member = it->second;
+    if (&member == m_self)
+        return {};
+    Duration heard = now - member.lastHeard;
+    if (member.record.status != NodeStatus::Alive)
+        return heard;
+    // Others would have reported a silent member within the detection time, if anything reaches this node.
+    Duration detection = m_settings.probePeriod + m_settings.probeTimeout + suspicionTimeout();
+    return std::min(heard, now - m_lastReceived + detection);
+}
+
+std::vector<HealthSummary> Membership::peerHealth(std::string_view service, Duration maxAge, Instant now) const
+{
+    std::vector<HealthSummary> result;
+    for (const auto& [upstream, it] : m_health) {
+        if (it.service == service && now - it.at <= maxAge)
+            result.push_back(it.summary);
+    }
+    return result;
+}
+
+Duration Membership::suspicionTimeout() const
+{
+    double factor = std::log10(static_cast<double>(std::max<size_t>(m_live, 2)));
+    Duration scaled(static_cast<int64_t>(factor * static_cast<double>(m_settings.suspicionPerLog10.count())));
+    return std::max(m_settings.minSuspicion, scaled);
+}
+
+size_t Membership::retransmitLimit() const
+{
+    return static_cast<size_t>(std::ceil(m_settings.retransmitFactor * std::log(static_cast<double>(m_live) + 1))) + 1;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Sending
+//-----------------------------------------------------------------------------
+
+Membership::Member* Membership::byKey(uint64_t key)
+{
+    auto it = m_keys.find(key);
+    return it == m_keys.end() ? nullptr : it->second;
+}
+
+GossipMessage Membership::makeMessage(GossipKind kind) const
+{
+    GossipMessage message;
+    message.kind = kind;
+    message.sender = m_self->record.name;
+    message.incarnation = m_self->record.incarnation;
+    message.startedAt = m_self->record.startedAt;
+    message.configurationDigest = m_configurationDigest;
+    message.revision = m_self->revision;
+    message.liveCount = static_cast<uint32_t>(m_live);
+    return message;
+}
+
+void Membership::send(std::string address, GossipMessage message, bool isSync)
+{
+    message.sequence = ++m_sequence;
+    size_t bytes = encodedSizeBound(message) + datagramOverhead;
+    assert(bytes <= maxDatagramBytes + datagramOverhead);
+    ++m_counters.messages;
+    m_counters.bytes += bytes;
+    if (isSync) {
+        m_counters.syncBytes += bytes;
+        m_syncTokens -= static_cast<double>(bytes);
+    } else {
+        m_tokens -= static_cast<double>(bytes);
+    }
+    m_messages.push_back({ std::move(address), std::move(message) });
+}
+
+MemberUpdate Membership::makeUpdate(
+    const Member& member, bool hasIdentity, std::span<const std::string> upstreams) const
+{
+    const NodeRecord& record = member.record;
+    MemberUpdate update { member.key, record.counter, record.status, member.revision, std::nullopt, {} };
+    if (hasIdentity) {
+        update.identity = NodeIdentity { record.name, record.incarnation, record.startedAt, record.gossipAddress,
+            record.relayAddress, record.location };
+    }
+    for (const std::string& name : upstreams) {
+        auto it = std::ranges::find(record.upstreams, name, &UpstreamRecord::name);
+        if (it != record.upstreams.end())
+            update.upstreams.push_back({ *it, member.versions[static_cast<size_t>(it - record.upstreams.begin())] });
+    }
+    return update;
+}
+
+// The complete record, in as many updates as it takes for each to fit in a datagram.
+std::vector<MemberUpdate> Membership::makeRecords(const Member& member) const
+{
+    size_t limit = maxDatagramBytes - messageFixedBytes - 2 * maxNameBytes;
+    std::vector<MemberUpdate> records { makeUpdate(member, true, {}) };
+    size_t bytes = encodedSizeBound(records.back());
+    for (size_t i = 0; i < member.record.upstreams.size(); ++i) {
+        VersionedUpstream it { member.record.upstreams[i], member.versions[i] };
+        size_t n = upstreamFixedBytes + it.record.name.size() + it.record.service.size();
+        if (bytes + n > limit || records.back().upstreams.size() >= maxUpstreamsPerUpdate) {
+            records.push_back(makeUpdate(member, true, {}));
+            bytes = encodedSizeBound(records.back());
+        }
+        records.back().upstreams.push_back(std::move(it));
+        bytes += n;
+    }
+    return records;
+}
+
+// Adds this node's own record, with its upstreams where they leave room for one more status.
+void Membership::introduce(GossipMessage& message) const
+{
+    MemberUpdate update = makeRecords(*m_self).front();
+    if (encodedSizeBound(message) + encodedSizeBound(update) + updateFixedBytes > maxDatagramBytes)
+        update.upstreams.clear();
+    message.updates.push_back(std::move(update));
+}
+
+void Membership::enqueue(const Member& member, bool hasIdentity, std::vector<std::string> upstreams, bool urgent)
+{
+    auto same = [&](const QueuedUpdate& it) {
+        return it.key == member.key && it.hasIdentity == hasIdentity && it.upstreams == upstreams;
+    };
+    std::erase_if(m_queue, same);
+    if (m_queue.size() >= maxQueuedUpdates) {
+        // The oldest entry has travelled furthest; the table comparison repairs what is lost.
+        m_queue.erase(std::ranges::min_element(m_queue, {}, &QueuedUpdate::order));
+    }
+    m_queue.push_back({ member.key, hasIdentity, std::move(upstreams), 0, m_nextOrder++, urgent });
+}
+
+bool Membership::canSpread() const
+{
+    if (m_tokens > 0)
+        return !m_queue.empty();
+    return m_tokens > -m_settings.burstBytes && std::ranges::any_of(m_queue, &QueuedUpdate::urgent);
+}
+
+// Adds queued updates while they fit in the datagram and in the budget. Urgent ones may overdraw it.
+void Membership::fill(GossipMessage& message)
+{
+    if (!canSpread())
+        return;
+    std::ranges::sort(m_queue, [](const QueuedUpdate& a, const QueuedUpdate& b) {
+        if (a.urgent != b.urgent)
+            return a.urgent;
+        if (a.transmits != b.transmits)
+            return a.transmits < b.transmits;
+        return a.order > b.order;
+    });
+    size_t bytes = encodedSizeBound(message);
+    size_t limit = retransmitLimit();
+    for (QueuedUpdate& queued : m_queue) {
+        if (message.updates.size() >= maxUpdatesPerMessage || bytes + updateFixedBytes > maxDatagramBytes)
+            break;
+        const Member* member = byKey(queued.key);
+        if (!member) {
+            queued.transmits = limit;
+            continue;
+        }
+        MemberUpdate update
+            = queued.hasIdentity ? makeRecords(*member).front() : makeUpdate(*member, false, queued.upstreams);
+        size_t n = encodedSizeBound(update);
+        if (bytes + n > maxDatagramBytes)
+            continue;
+        if (!queued.urgent && static_cast<double>(bytes + n) > m_tokens)
+            break;
+        bytes += n;
+        message.updates.push_back(std::move(update));
+        ++queued.transmits;
+    }
+    std::erase_if(m_queue, [&](const QueuedUpdate& it) { return it.transmits >= limit; });
+}
+
+std::vector<const Membership::Member*> Membership::randomMembers(size_t n, uint64_t except, bool preferRegion)
+{
+    std::array<std::vector<const Member*>, 2> groups; // own region, other regions
+    for (const auto& [name, member] : m_members) {
+        if (&member == m_self || !isLive(member) || member.key == except)
+            continue;
+        bool isLocal = member.record.location.region == m_self->record.location.region;
+        groups[isLocal || !preferRegion ? 0 : 1].push_back(&member);
+    }
+    std::vector<const Member*> chosen;
+    while (chosen.size() < n && (!groups[0].empty() || !groups[1].empty())) {
+        bool cross = groups[0].empty() || (!groups[1].empty() && !random(m_settings.crossRegionShare));
+        auto& group = groups[cross ? 1 : 0];
+        std::swap(group[random(group.size())], group.back());
+        chosen.push_back(group.back());
+        group.pop_back();
+    }
+    return chosen;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Periodic work
+//-----------------------------------------------------------------------------
+
+// Random probing alone leaves a member unprobed for t seconds with probability exp(-t). The ring makes
+// sure that each member is probed once in each period by its predecessor.
+void Membership::probeNext(Instant now)
+{
+    const Member* successor = ringSuccessor();
+    if (successor)
+        probe(*successor, now);
+    const Member* member = nextRandom();
+    if (member && member != successor)
+        probe(*member, now);
+}
+
+void Membership::probe(const Member& member, Instant now)
+{
+    if (m_probes.size() >= maxProbes)
+        return;
+    GossipMessage ping = makeMessage(GossipKind::Ping);
+    ping.probe = m_nextProbe++;
+    m_probes.push_back({ ping.probe, member.key, now, false, {}, 0 });
+    if (member.record.status != NodeStatus::Alive)
+        ping.updates.push_back(makeUpdate(member, false, {}));
+    fill(ping);
+    send(member.record.gossipAddress, std::move(ping));
+}
+
+const Membership::Member* Membership::ringSuccessor() const
+{
+    const Member* next = nullptr;
+    uint64_t nextDistance = 0;
+    for (const auto& [name, member] : m_members) {
+        if (&member == m_self || member.record.status != NodeStatus::Alive
+            || member.record.location.region != m_self->record.location.region)
+            continue;
+        uint64_t distance = member.ringPosition - m_self->ringPosition; // wraps round
+        if (!next || distance < nextDistance) {
+            next = &member;
+            nextDistance = distance;
+        }
+    }
+    return next;
+}
+
+const Membership::Member* Membership::nextRandom()
+{
+    bool cross = ++m_probeCount % m_settings.crossRegionShare == 0;
+    for (size_t attempt = 0; attempt < 2; ++attempt, cross = !cross) {
+        auto& round = m_rounds[cross ? 1 : 0];
+        if (round.empty()) {
+            for (const auto& [name, member] : m_members) {
+                bool isLocal = member.record.location.region == m_self->record.location.region;
+                if (&member != m_self && isLive(member) && isLocal != cross)
+                    round.push_back(member.key);
+            }
+            std::ranges::shuffle(round, m_random);
+        }
+        while (!round.empty()) {
+            const Member* member = byKey(round.back());
+            round.pop_back();
+            if (member && isLive(*member))
+                return member;
+        }
+    }
+    return nullptr;
+}
+
+void Membership::checkProbes(Instant now)
+{
+    std::vector<uint64_t> silent;
+    std::erase_if(m_probes, [&](Probe& it) {
+        if (now - it.sentAt < m_settings.probeTimeout)
+            return false;
+        if (it.key && it.replyAddress.empty())
+            silent.push_back(it.key);
+        return true;
+    });
+    for (Probe& it : m_probes) {
+        if (it.indirect || !it.key || now - it.sentAt < m_settings.directTimeout)
+            continue;
+        it.indirect = true;
+        const Member* target = byKey(it.key);
+        if (!target)
+            continue;
+        for (const Member* helper : randomMembers(m_settings.indirectProbes, it.key, false)) {
+            GossipMessage request = makeMessage(GossipKind::PingRequest);
+            request.probe = it.number;
+            request.target = it.key;
+            request.targetAddress = target->record.gossipAddress;
+            send(helper->record.gossipAddress, std::move(request));
+        }
+    }
+    for (uint64_t key : silent) {
+        Member* member = byKey(key);
+        if (!member || member->record.status != NodeStatus::Alive)
+            continue;
+        ++m_counters.suspicions;
+        setStatus(*member, NodeStatus::Suspect, member->record.counter, now);
+        contradict(*member);
+    }
+}
+
+void Membership::checkStatuses(Instant now)
+{
+    std::vector<std::string> forgotten;
+    Duration timeout = suspicionTimeout();
+    auto keys = std::exchange(m_unsettled, {});
+    for (uint64_t key : keys) {
+        Member* member = byKey(key);
+        if (!member || member == m_self || member->record.status == NodeStatus::Alive)
+            continue;
+        Duration since = now - member->statusSince;
+        if (!isLive(*member) && since >= m_settings.deadRetention) {
+            forgotten.push_back(member->record.name);
+            continue;
+        }
+        m_unsettled.push_back(key);
+        if (member->record.status == NodeStatus::Suspect && since >= timeout)
+            setStatus(*member, NodeStatus::Dead, member->record.counter, now);
+    }
+    for (const std::string& name : forgotten)
+        forget(name);
+}
+
+void Membership::spread(Instant now)
+{
+    if (!canSpread())
+        return;
+    for (const Member* it : randomMembers(m_settings.gossipFanout)) {
+        GossipMessage message
+            = makeMessage(m_self->record.status == NodeStatus::Left ? GossipKind::Leave : GossipKind::Update);
+        if (m_self->record.status == NodeStatus::Left
+            && now - m_self->statusSince <= m_settings.gossipPeriod * leaveRepeats)
+            message.updates.push_back(makeUpdate(*m_self, false, {}));
+        fill(message);
+        if (message.updates.empty())
+            break;
+        send(it->record.gossipAddress, std::move(message));
+    }
+}
+
+// Joins through the seeds, and looks for members behind a healed partition.
+void Membership::retryLost(Instant now)
+{
+    std::vector<std::string> lost;
+    for (const auto& [name, member] : m_members) {
+        if (member.record.status == NodeStatus::Dead)
+            lost.push_back(member.record.gossipAddress);
+    }
+    for (const std::string& it : m_remembered)
+        lost.push_back(it);
+    for (const std::string& seed : m_settings.seeds) {
+        bool isKnown = std::ranges::any_of(
+            m_members, [&](const auto& it) { return isLive(it.second) && it.second.record.gossipAddress == seed; });
+        if (!isKnown)
+            lost.push_back(seed);
+    }
+    std::erase(lost, m_self->record.gossipAddress);
+    if (lost.empty())
+        return;
+    if (!m_joined) {
+        m_syncCursor = "";
+        requestSync(lost[random(lost.size())], now);
+        return;
+    }
+    if (m_probes.size() >= maxProbes)
+        return;
+    const std::string& address = lost[random(lost.size())];
+    GossipMessage ping = makeMessage(GossipKind::Ping);
+    ping.probe = m_nextProbe++;
+    m_probes.push_back({ ping.probe, 0, now, false, {}, 0 });
+    introduce(ping);
+    for (const auto& [name, member] : m_members) {
+        if (member.record.status == NodeStatus::Dead && member.record.gossipAddress == address)
+            ping.updates.push_back(makeUpdate(member, false, {}));
+    }
+    send(address, std::move(ping));
+}
+
+// Compares one random part of the table with a random member's. This repairs updates that were lost
+// on all ways, at the price of one small datagram when there is nothing to repair.
+void Membership::repair()
+{
+    auto others = randomMembers(1);
+    if (others.empty())
+        return;
+    uint64_t bits = static_cast<uint64_t>(std::bit_width(m_members.size() / repairGroup));
+    uint64_t part = (bits + 1) << partBitsShift | random(size_t(1) << bits);
+    GossipMessage request = makeMessage(GossipKind::SyncRequest);
+    request.target = part;
+    request.probe = partDigest(partMembers(part));
+    send(others.front()->record.gossipAddress, std::move(request));
+}
+
+// Live members whose ring position starts with the bits of the part.
+std::vector<const Membership::Member*> Membership::partMembers(uint64_t part) const
+{
+    uint64_t bits = std::min<uint64_t>((part >> partBitsShift) - 1, maxPartBits);
+    uint64_t prefix = part & ((uint64_t(1) << partBitsShift) - 1);
+    std::vector<const Member*> members;
+    for (const auto& [name, member] : m_members) {
+        if (isLive(member) && (!bits || member.ringPosition >> (64 - bits) == prefix))
+            members.push_back(&member);
+    }
+    return members;
+}
+
+uint64_t Membership::partDigest(std::span<const Member* const> members)
+{
+    uint64_t digest = 0;
+    for (const Member* it : members)
+        digest += (it->key ^ it->record.counter << 32 ^ it->revision) * 0x9e3779b97f4a7c15ULL;
+    return digest;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Exchange of tables
+//-----------------------------------------------------------------------------
+
+void Membership::requestSync(std::string address, Instant now)
+{
+    GossipMessage request = makeMessage(GossipKind::SyncRequest);
+    request.cursor = m_syncCursor.value_or("");
+    if (request.cursor.empty()) {
+        introduce(request);
+    }
+    m_syncPeer = address;
+    m_syncSentAt = now;
+    m_lastSync = now;
+    send(std::move(address), std::move(request));
+}
+
+// Sends complete records; they do not advance a table exchange of the receiver.
+void Membership::sendRecords(std::span<const Member* const> members, std::string_view to)
+{
+    GossipMessage reply = makeMessage(GossipKind::SyncReply);
+    reply.probe = 1;
+    size_t bytes = encodedSizeBound(reply);
+    for (const Member* member : members) {
+        for (MemberUpdate& it : makeRecords(*member)) {
+            size_t n = encodedSizeBound(it);
+            if (bytes + n > maxDatagramBytes || reply.updates.size() >= maxUpdatesPerMessage) {
+                GossipMessage next = makeMessage(GossipKind::SyncReply);
+                next.probe = 1;
+                bytes = encodedSizeBound(next);
+                send(std::string(to), std::exchange(reply, std::move(next)), true);
+            }
+            bytes += n;
+            reply.updates.push_back(std::move(it));
+        }
+        if (m_syncTokens <= 0)
+            break;
+    }
+    if (!reply.updates.empty())
+        send(std::string(to), std::move(reply), true);
+}
+
+void Membership::answerSync(const GossipMessage& request, std::string_view from)
+{
+    if (m_syncTokens <= 0)
+        return; // the asker turns to another member
+    if (request.target) {
+        auto members = partMembers(request.target);
+        if (partDigest(members) != request.probe)
+            sendRecords(members, from);
+        return;
+    }
+    if (!request.wanted.empty()) {
+        std::vector<const Member*> members;
+        for (uint64_t key : request.wanted) {
+            if (const Member* member = byKey(key))
+                members.push_back(member);
+        }
+        sendRecords(members, from);
+        return;
+    }
+    GossipMessage reply = makeMessage(GossipKind::SyncReply);
+    size_t bytes = encodedSizeBound(reply) + maxNameBytes; // the cursor is entered last
+    auto append = [&](const Member& member) {
+        auto records = makeRecords(member);
+        size_t n = 0;
+        for (const MemberUpdate& it : records)
+            n += encodedSizeBound(it);
+        if (reply.updates.empty() && records.size() > 1) {
+            // A record of several datagrams goes ahead of the reply.
+            std::array<const Member*, 1> one { &member };
+            sendRecords(one, from);
+            return true;
+        }
+        if (bytes + n > maxDatagramBytes || reply.updates.size() + records.size() > maxUpdatesPerMessage)
+            return false;
+        bytes += n;
+        std::ranges::move(records, std::back_inserter(reply.updates));
+        return true;
+    };
+    auto it = m_members.upper_bound(request.cursor);
+    while (it != m_members.end() && append(it->second)) {
+        reply.cursor = it->first;
+        ++it;
+    }
+    reply.isLast = it == m_members.end();
+    send(std::string(from), std::move(reply), true);
+}
+
+void Membership::continueSync(const GossipMessage& reply, std::string_view from, Instant now)
+{
+    if (!m_syncCursor || reply.probe)
+        return;
+    m_joined = true;
+    if (reply.isLast || reply.cursor <= *m_syncCursor) {
+        if (reply.isLast)
+            m_syncCursor.reset();
+        return;
+    }
+    m_syncCursor = reply.cursor;
+    requestSync(std::string(from), now);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Applying updates
+//-----------------------------------------------------------------------------
+
+void Membership::report(MemberEvent event, const Member& member, std::string upstream)
+{
+    m_changes.push_back({ event, member.record.name, member.record.incarnation, std::move(upstream), 0 });
+}
+
+void Membership::setStatus(Member& member, NodeStatus status, uint64_t counter, Instant now)
+{
+    bool wasLive = isLive(member);
+    NodeStatus before = member.record.status;
+    member.record.status = status;
+    member.record.counter = counter;
+    bool live = isLive(member);
+    if (wasLive != live)
+        m_live += live ? 1 : static_cast<size_t>(-1);
+    enqueue(member, before == NodeStatus::Dead && status == NodeStatus::Alive, {}, true);
+    if (before == status)
+        return;
+    member.statusSince = now;
+    if (status != NodeStatus::Alive && std::ranges::find(m_unsettled, member.key) == m_unsettled.end())
+        m_unsettled.push_back(member.key);
+    switch (status) {
+    case NodeStatus::Alive:
+        report(MemberEvent::Alive, member);
+        break;
+    case NodeStatus::Suspect:
+        report(MemberEvent::Suspected, member);
+        break;
+    case NodeStatus::Dead:
+        report(MemberEvent::Dead, member);
+        break;
+    case NodeStatus::Left:
+        report(MemberEvent::Left, member);
+        break;
+    }
+}
+
+void Membership::refute(uint64_t counter, Instant now)
+{
+    ++m_counters.refutations;
+    m_self->record.counter = counter + 1;
+    enqueue(*m_self, true, {}, true);
+    for (const Member* it : randomMembers(m_settings.urgentFanout)) {
+        if (m_tokens <= -m_settings.burstBytes)
+            break;
+        GossipMessage message = makeMessage(GossipKind::Update);
+        introduce(message);
+        send(it->record.gossipAddress, std::move(message));
+    }
+    m_nextSpreadAt = std::min(m_nextSpreadAt, now);
+}
+
+void Membership::applySelf(const MemberUpdate& update, Instant now)
+{
+    if (m_self->record.status != NodeStatus::Alive)
+        return;
+    if (update.status != NodeStatus::Alive && update.counter >= m_self->record.counter)
+        refute(update.counter, now);
+}
+
+void Membership::supersede(Member& member)
+{
+    report(MemberEvent::Superseded, member);
+    m_keys.erase(member.key);
+    if (isLive(member))
+        --m_live;
+}
+
+// Enters a member, or replaces an older incarnation of its name. Null when the update is about an
+// older incarnation.
+Membership::Member* Membership::learn(const MemberUpdate& update, Instant now)
+{
+    const NodeIdentity& identity = *update.identity;
+    auto it = m_members.find(identity.name);
+    if (it != m_members.end()) {
+        Member& old = it->second;
+        if (!isNewer(identity.startedAt, identity.incarnation, old.record))
+            return nullptr;
+        if (&old == m_self) {
+            if (now - m_startedAt <= m_settings.joinPhase) {
+                // A clock that went back would let the record of an ended process win over this one.
+                m_self->record.startedAt = identity.startedAt + 1;
+                enqueue(*m_self, true, {}, true);
+            } else {
+                report(MemberEvent::SelfSuperseded, *m_self);
+            }
+            return nullptr;
+        }
+        supersede(old);
+        m_members.erase(it);
+    }
+    if (update.status == NodeStatus::Dead || update.status == NodeStatus::Left)
+        return nullptr; // never known here; forgotten members must not return this way
+    Member& member = m_members[identity.name];
+    member.record.name = identity.name;
+    member.record.incarnation = identity.incarnation;
+    member.record.startedAt = identity.startedAt;
+    member.record.counter = update.counter;
+    member.record.status = update.status;
+    member.record.gossipAddress = identity.gossipAddress;
+    member.record.relayAddress = identity.relayAddress;
+    member.record.location = identity.location;
+    member.key = update.key;
+    member.ringPosition = hashName(identity.name);
+    member.statusSince = now;
+    member.lastHeard = now;
+    m_keys[member.key] = &member;
+    if (member.record.status != NodeStatus::Alive)
+        m_unsettled.push_back(member.key);
+    ++m_live;
+    std::erase(m_remembered, identity.gossipAddress);
+    // A table received on joining is known to others already.
+    if (!m_isApplyingTable)
+        enqueue(member, true, {}, false);
+    report(MemberEvent::Joined, member);
+    return &member;
+}
+
+void Membership::apply(const MemberUpdate& update, std::vector<uint64_t>& wanted, Instant now)
+{
+    if (update.identity && memberKey(update.identity->incarnation) != update.key) {
+        ++m_counters.invalid;
+        return;
+    }
+    if (update.key == m_self->key) {
+        applySelf(update, now);
+        return;
+    }
+    Member* member = byKey(update.key);
+    if (!member) {
+        if (update.identity) {
+            member = learn(update, now);
+            if (!member)
+                return;
+            applyUpstreams(*member, update, false);
+            if (member->revision < update.revision && wanted.size() < maxWantedPerMessage)
+                wanted.push_back(update.key);
+            return;
+        }
+        ++m_counters.unknownMembers;
+        if (update.status != NodeStatus::Dead && update.status != NodeStatus::Left
+            && wanted.size() < maxWantedPerMessage)
+            wanted.push_back(update.key);
+        return;
+    }
+    if (update.identity && update.identity->startedAt > member->record.startedAt)
+        member->record.startedAt = update.identity->startedAt;
+    applyStatus(*member, update, now);
+    applyUpstreams(*member, update, true);
+    if (isLive(*member) && member->revision < update.revision && wanted.size() < maxWantedPerMessage)
+        wanted.push_back(update.key);
+}
+
+void Membership::applyStatus(Member& member, const MemberUpdate& update, Instant now)
+{
+    NodeRecord& record = member.record;
+    if (record.status == NodeStatus::Left)
+        return; // final for an incarnation
+    bool isNews = update.counter > record.counter
+        || (update.counter == record.counter && rank(update.status) > rank(record.status));
+    if (!isNews) {
+        // The other side holds an older, better opinion; only the member itself can settle it.
+        if (update.status == NodeStatus::Alive && record.status == NodeStatus::Dead)
+            contradict(member);
+        return;
+    }
+    NodeStatus status = update.status;
+    // A death without a suspicion known here comes from the far side of a partition or a cut. The
+    // member gets the time of a suspicion to refute it.
+    if (status == NodeStatus::Dead && record.status == NodeStatus::Alive)
+        status = NodeStatus::Suspect;
+    setStatus(member, status, update.counter, now);
+}
+
+void Membership::applyUpstreams(Member& member, const MemberUpdate& update, bool spreads)
+{
+    auto& known = member.record.upstreams;
+    for (const VersionedUpstream& it : update.upstreams) {
+        auto old = std::ranges::find(known, it.record.name, &UpstreamRecord::name);
+        if (old == known.end()) {
+            known.push_back(it.record);
+            member.versions.push_back(it.version);
+            member.revision += static_cast<uint32_t>(it.version);
+        } else {
+            uint64_t& version = member.versions[static_cast<size_t>(old - known.begin())];
+            if (version >= it.version)
+                continue;
+            member.revision += static_cast<uint32_t>(it.version - version);
+            version = it.version;
+            *old = it.record;
+        }
+        report(MemberEvent::UpstreamChanged, member, it.record.name);
+        if (spreads && !m_isApplyingTable)
+            enqueue(member, false, { it.record.name }, isUrgent(it.record.state));
+    }
+}
+
+// Tells a member directly what is believed of it, so that it can refute.
+void Membership::contradict(const Member& member)
+{
+    if (m_contradictions >= maxContradictionsPerTick)
+        return;
+    ++m_contradictions;
+    GossipMessage message = makeMessage(GossipKind::Update);
+    message.updates.push_back(makeUpdate(member, false, {}));
+    send(member.record.gossipAddress, std::move(message));
+}
+
+void Membership::remember(const std::string& address)
+{
+    if (std::ranges::find(m_remembered, address) != m_remembered.end())
+        return;
+    if (m_remembered.size() >= m_settings.maxRemembered)
+        m_remembered[random(m_remembered.size())] = address;
+    else
+        m_remembered.push_back(address);
+}
+
+void Membership::forget(const std::string& name)
+{
+    auto it = m_members.find(name);
+    if (it->second.record.status == NodeStatus::Dead)
+        remember(it->second.record.gossipAddress);
+    m_keys.erase(it->second.key);
+    m_members.erase(it);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Derived lists
+//-----------------------------------------------------------------------------
+
+CandidateList makeCandidates(const Membership& membership)
+{
+    CandidateList candidates;
+    membership.forEach([&](const NodeRecord& node) {
+        if (node.status != NodeStatus::Alive && node.status != NodeStatus::Suspect)
+            return;
+        for (const UpstreamRecord& it : node.upstreams) {
+            if (it.state == UpstreamState::Gone)
+                continue;
+            UpstreamState state = it.state;
+            if (node.status == NodeStatus::Suspect && (state == UpstreamState::Ready || state == UpstreamState::Cold))
+                state = UpstreamState::Degraded;
+            candidates.push_back({ it.name, it.service, node.name, node.relayAddress, node.incarnation, node.location,
+                it.slots, state, it.share });
+        }
+    });
+    std::ranges::sort(candidates, {}, [](const Candidate& it) { return std::tie(it.service, it.upstream); });
+    return candidates;
+}
+
+std::vector<UpstreamView> makeUpstreamViews(const Membership& membership, std::string_view service, Instant now)
+{
+    std::vector<UpstreamView> views;
+    membership.forEach([&](const NodeRecord& node) {
+        bool isGone = node.status == NodeStatus::Dead || node.status == NodeStatus::Left;
+        for (const UpstreamRecord& it : node.upstreams) {
+            if (it.service != service)
+                continue;
+            views.push_back({ it.name, node.incarnation, it.slots, isGone ? UpstreamState::Gone : it.state, it.severity,
+                membership.age(node.name, now) });
+        }
+    });
+    std::ranges::sort(views, {}, &UpstreamView::upstream);
+    return views;
+}
+
+} // namespace Gooseberrymill
