--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -35,6 +35,7 @@
 #include "core/Basics.h" // time, identifiers, outcomes, errors
 #include "core/ClaimLedger.h" // claims of idempotency keys in the store
 #include "core/Configuration.h" // services, routes, policies
+#include "core/ConfigurationLedger.h" // documents in force and how they spread
 #include "core/Ejection.h" // floor-safe ejection
 #include "core/FifoAdmission.h" // baseline of AdmissionQueue
 #include "core/Health.h" // evidence and verdicts
