Add audit trail and command line

Operators need one binary with verbs whose exit codes scripts can rely on, and a record of changes that survives outages of the store.

The verbs are a table of functions, so that adding one is one line. Flags are defined and set through gflags; the loop over the arguments is the program's own, because gflags ends the process with exit code 1 on an unknown flag and 1 means a failed verb. AuditTrail buffers a bounded number of events, writes them in batches under names that do not exist yet, repeats an unsettled batch unchanged, and drops the oldest events first.

--- /dev/null
+++ b/src/node/AuditTrail.h
@@ -0,0 +1,243 @@
+// Audit trail: who or what changed the fleet, when and why. Kept in the store as batches
+// `audit/<node>-<n>`.
+#pragma once
+
+#include "core/ObjectStore.h"
+#include "FleetAuth.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+
+namespace Gooseberrymill {
+
+constexpr std::string_view auditKind = "audit";
+
+enum class AuditEventKind : uint8_t {
+    ConfigurationAccepted,
+    ConfigurationRefused,
+    ConfigurationInForce,
+    Ejection,
+    Readmission,
+    Degraded,
+    Drain,
+    QueryOfDeath,
+    WatchTakeover, // this node took over a watch of the store
+    OperationResolved,
+    NodeStarted,
+    NodeStopped,
+};
+constexpr size_t auditEventKindCount = 12;
+
+std::string_view toString(AuditEventKind);
+std::optional<AuditEventKind> parseAuditEventKind(std::string_view);
+
+struct AuditEvent {
+    AuditEventKind kind = AuditEventKind::NodeStarted;
+    WallTime time {};
+    std::string node;
+    std::string actor; // operator or module that caused it
+    std::string service; // empty when it concerns none
+    std::string subject; // upstream, document or operation
+    std::string reason;
+    bool operator==(const AuditEvent&) const = default;
+};
+
+// One object of the store.
+struct AuditBatch {
+    Id128 id; // random; settles whether a write whose answer was lost took effect
+    uint64_t dropped = 0; // events lost since the batch before
+    std::vector<AuditEvent> events;
+    bool operator==(const AuditBatch&) const = default;
+};
+
+std::string printAuditBatch(const AuditBatch&); // JSON
+Result<AuditBatch> parseAuditBatch(std::string_view json);
+
+// Text fields are cut to this length, so that a batch fits into one object even when JSON needs six
+// characters for each.
+constexpr size_t maxAuditTextBytes = 300;
+AuditEvent boundEvent(AuditEvent);
+
+struct AuditLimits {
+    size_t maxEvents = 10'000; // buffered; beyond it the oldest is dropped
+    size_t batchEvents = 100; // of one object
+    Duration flushDelay = 5s; // from the first event to its batch, which bounds the calls to the store
+    Duration maxBackoff = 60s; // between attempts while the store is unavailable
+};
+
+// Buffers events and writes them to the store in order. record() only appends, so nothing waits for the
+// store. Belongs to one task. The store must outlive the trail's pending calls.
+template <ObjectStore Store> class AuditTrail {
+public:
+    // `firstBatch` numbers the first object; the start time of the node in milliseconds keeps the
+    // numbers of a restarted node apart from its earlier ones without reading the store.
+    AuditTrail(Store& store, std::string node, uint64_t firstBatch, AuditLimits limits = {})
+        : m_state(std::make_shared<State>(store, std::move(node), firstBatch, limits))
+    {
+    }
+
+    void record(AuditEvent event)
+    {
+        event.node = m_state->node;
+        m_state->buffer.push_back(boundEvent(std::move(event)));
+        while (m_state->buffer.size() > m_state->limits.maxEvents) {
+            m_state->buffer.pop_front();
+            ++m_state->dropped;
+            ++m_state->droppedSinceBatch;
+        }
+    }
+
+    // To be called periodically; writes a batch when one is due.
+    void tick(Instant now)
+    {
+        State& state = *m_state;
+        state.now = now;
+        if (state.isWriting || (state.batch.events.empty() && state.buffer.empty()))
+            return;
+        if (!state.dueAt)
+            state.dueAt = now + state.limits.flushDelay;
+        bool isFull = !state.backoff.count() && state.buffer.size() >= state.limits.batchEvents;
+        if (isFull || now >= *state.dueAt)
+            writeBatch(m_state);
+    }
+
+    // Writes everything that is buffered; `done` gets false when the store failed and events are left.
+    void flush(std::function<void(bool)> done)
+    {
+        m_state->onFlushed = std::move(done);
+        if (!m_state->isWriting)
+            writeBatch(m_state);
+    }
+
+    size_t bufferedEvents() const { return m_state->buffer.size() + m_state->batch.events.size(); }
+    uint64_t droppedEvents() const { return m_state->dropped; }
+
+private:
+    struct State {
+        State(Store& s, std::string n, uint64_t first, AuditLimits l)
+            : store(s)
+            , node(std::move(n))
+            , nextBatch(first)
+            , limits(l)
+        {
+        }
+
+        Store& store;
+        std::string node;
+        uint64_t nextBatch;
+        AuditLimits limits;
+        std::deque<AuditEvent> buffer;
+        AuditBatch batch; // being written; unchanged until the store has it
+        uint64_t dropped = 0;
+        uint64_t droppedSinceBatch = 0;
+        bool isWriting = false;
+        Instant now {};
+        std::optional<Instant> dueAt;
+        Duration backoff {};
+        std::function<void(bool)> onFlushed;
+    };
+    using StatePointer = std::shared_ptr<State>;
+
+    static std::string objectName(const State& state) { return state.node + "-" + std::to_string(state.nextBatch); }
+
+    static void fillBatch(State& state)
+    {
+        if (!state.batch.events.empty() || state.buffer.empty())
+            return;
+        state.batch.id = randomId();
+        state.batch.dropped = std::exchange(state.droppedSinceBatch, 0);
+        size_t count = std::min(state.buffer.size(), state.limits.batchEvents);
+        for (size_t i = 0; i < count; ++i) {
+            state.batch.events.push_back(std::move(state.buffer.front()));
+            state.buffer.pop_front();
+        }
+    }
+
+    static void writeBatch(const StatePointer& state)
+    {
+        fillBatch(*state);
+        if (state->batch.events.empty())
+            return finishFlush(*state, true);
+        state->isWriting = true;
+        state->store.put(auditKind, objectName(*state), printAuditBatch(state->batch), 0,
+            [weak = std::weak_ptr<State>(state)](const Result<uint64_t>& result) {
+                if (auto held = weak.lock())
+                    handleWritten(held, result);
+            });
+    }
+
+    static void handleWritten(const StatePointer& state, const Result<uint64_t>& result)
+    {
+        if (result)
+            return handleStored(state);
+        // The name is taken: by this batch, when an earlier answer was lost, or by another process.
+        if (result.error().code == makeErrorCode(ErrorCode::Conflict))
+            return readBack(state);
+        handleFailed(*state);
+    }
+
+    static void readBack(const StatePointer& state)
+    {
+        state->store.get(
+            auditKind, objectName(*state), [weak = std::weak_ptr<State>(state)](const Result<StoredObject>& result) {
+                auto held = weak.lock();
+                if (!held)
+                    return;
+                if (!result)
+                    return handleFailed(*held);
+                auto stored = parseAuditBatch(result.value().value);
+                if (stored && stored.value().id == held->batch.id)
+                    return handleStored(held);
+                ++held->nextBatch;
+                writeBatch(held);
+            });
+    }
+
+    static void handleStored(const StatePointer& state)
+    {
+        state->isWriting = false;
+        state->batch = {};
+        ++state->nextBatch;
+        state->backoff = {};
+        state->dueAt.reset();
+        if (state->onFlushed)
+            writeBatch(state);
+    }
+
+    static void handleFailed(State& state)
+    {
+        state.isWriting = false;
+        state.backoff = std::min(std::max<Duration>(state.backoff * 2, 1s), state.limits.maxBackoff);
+        state.dueAt = state.now + state.backoff;
+        finishFlush(state, false);
+    }
+
+    static void finishFlush(State& state, bool isComplete)
+    {
+        if (auto done = std::exchange(state.onFlushed, nullptr))
+            done(isComplete);
+    }
+
+    StatePointer m_state;
+};
+
+// The events of all batches in the store.
+struct AuditReading {
+    std::vector<AuditEvent> events; // by time
+    uint64_t dropped = 0; // events that nodes have lost
+    size_t damagedBatches = 0;
+};
+
+AuditReading collectAudit(std::span<const StoredObject> batches);
+
+template <ObjectStore Store> void readAudit(Store& store, Callback<AuditReading> callback)
+{
+    store.list(auditKind, [callback = std::move(callback)](Result<std::vector<StoredObject>> result) {
+        if (!result)
+            return callback(result.error());
+        callback(collectAudit(result.value()));
+    });
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/CommandLine.cpp
@@ -0,0 +1,132 @@
+// Parsing of the command line on gflags, the help text and the choice of the verb.
+#include "Verbs.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr std::string_view programVersion = "0.1.0";
+
+std::string helpText()
+{
+    std::string text = "usage: gooseberrymill VERB [ARGUMENTS] [FLAGS]\n\nVerbs:\n";
+    std::vector<std::string_view> flagNames;
+    for (const Verb& verb : verbs()) {
+        std::string usage = fmt::format("{} {}", verb.name, verb.arguments);
+        text += fmt::format("  {}\n      {}\n", usage, verb.summary);
+        for (std::string_view flag : verb.flags) {
+            if (std::find(flagNames.begin(), flagNames.end(), flag) == flagNames.end())
+                flagNames.push_back(flag);
+        }
+    }
+    text += "\nFlags:\n";
+    for (std::string_view name : flagNames) {
+        gflags::CommandLineFlagInfo info;
+        if (gflags::GetCommandLineFlagInfo(std::string(name).c_str(), &info))
+            text += fmt::format("  --{}\n      {}\n", name, info.description);
+    }
+    text += "  --help\n      This text.\n  --version\n      The version of the program.\n";
+    text += "\nExit codes: 0 success, 1 the thing asked for failed, 2 the command line is wrong.\n";
+    return text;
+}
+
+int reportUsage(std::string_view problem)
+{
+    fmt::print(stderr, "gooseberrymill: {}\nTry gooseberrymill --help.\n", problem);
+    return exitUsage;
+}
+
+// A command line taken apart. Flags are set through gflags; a verb sees only its positional arguments.
+struct ParsedLine {
+    std::vector<std::string> positional;
+    std::vector<std::string> flags;
+    bool wantsHelp = false;
+    bool wantsVersion = false;
+    std::string problem; // empty when the line is well formed
+};
+
+// Sets one flag; takes the next argument as its value when there is no '='. gflags' own parser ends the
+// process with exit code 1 on a wrong flag, which would be taken for a failure of the verb.
+std::string setFlag(std::string_view text, std::span<const std::string> rest, size_t& used, std::string& name)
+{
+    size_t equals = text.find('=');
+    name = std::string(text.substr(0, equals));
+    gflags::CommandLineFlagInfo info;
+    if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info))
+        return fmt::format("unknown flag --{}", name);
+    std::string value;
+    if (equals != std::string_view::npos) {
+        value = std::string(text.substr(equals + 1));
+    } else if (info.type == "bool") {
+        value = "true";
+    } else if (rest.empty()) {
+        return fmt::format("--{} needs a value", name);
+    } else {
+        value = rest.front();
+        ++used;
+    }
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+        return fmt::format("--{}: \"{}\" is not of type {}", name, value, info.type);
+    return "";
+}
+
+ParsedLine parseLine(std::span<const std::string> arguments)
+{
+    ParsedLine line;
+    bool hasEnded = false; // after "--" nothing is a flag
+    for (size_t i = 0; i < arguments.size() && line.problem.empty(); ++i) {
+        const std::string& argument = arguments[i];
+        if (hasEnded || argument.size() < 2 || argument.front() != '-') {
+            line.positional.push_back(argument);
+        } else if (argument == "--") {
+            hasEnded = true;
+        } else if (argument == "--help" || argument == "-h") {
+            line.wantsHelp = true;
+        } else if (argument == "--version") {
+            line.wantsVersion = true;
+        } else {
+            std::string_view text = std::string_view(argument).substr(argument.starts_with("--") ? 2 : 1);
+            std::string name;
+            line.problem = setFlag(text, arguments.subspan(i + 1), i, name);
+            line.flags.push_back(std::move(name));
+        }
+    }
+    return line;
+}
+
+} // namespace
+
+int runCommandLine(std::span<const std::string> arguments)
+{
+    ParsedLine line = parseLine(arguments);
+    if (line.wantsHelp) {
+        fmt::print("{}", helpText());
+        return exitSuccess;
+    }
+    if (line.wantsVersion) {
+        fmt::print("gooseberrymill {}\n", programVersion);
+        return exitSuccess;
+    }
+    if (!line.problem.empty())
+        return reportUsage(line.problem);
+    if (line.positional.empty())
+        return reportUsage("a verb is missing");
+    auto all = verbs();
+    auto verb = std::find_if(all.begin(), all.end(), [&](const Verb& v) { return v.name == line.positional.front(); });
+    if (verb == all.end())
+        return reportUsage(fmt::format("unknown verb \"{}\"", line.positional.front()));
+    for (const std::string& flag : line.flags) {
+        if (std::find(verb->flags.begin(), verb->flags.end(), flag) == verb->flags.end())
+            return reportUsage(fmt::format("{} does not take --{}", verb->name, flag));
+    }
+    auto positional = std::span<const std::string>(line.positional).subspan(1);
+    if (positional.size() < verb->minArguments || positional.size() > verb->maxArguments)
+        return reportUsage(fmt::format("usage: {} {}", verb->name, verb->arguments));
+    return verb->run(positional);
+}
+
+} // namespace Gooseberrymill
--- a/src/node/StoreClient.cpp
+++ b/src/node/StoreClient.cpp
@@ -12,7 +12,7 @@
 
 constexpr size_t maxListBytes = 32 * maxStoreValueBytes;
 constexpr guint statusTooManyRequests = 429; // RFC 6585; libsoup has no name for it
-constexpr size_t readChunkBytes = 64 * 1024;
+constexpr size_t readChunkBytes = 65'536;
 constexpr guint maxConnections = 64; // a watch holds one connection while it waits
 
 GMainContext* currentContext()
@@ -378,7 +378,7 @@
     };
     if (value.size() > maxStoreValueBytes) {
         g_cancellable_cancel(call->cancellable.get());
-        call->onAnswer = [blank, tell = std::move(call->onAnswer)](Result<Answer>) {
+        call->onAnswer = [blank, tell = std::move(call->onAnswer)](const Result<Answer>&) {
             tell(Error { ErrorCode::TooLarge, blank.step, blank.peer, "the value exceeds 1 MB" });
         };
         return;
