Add trace format, generator and replay

Cause: the policies could only be judged call by call. Change: JSON-lines traces with a generator of both deployments, and a replay in virtual time with one small upstream model; policies are template parameters.

--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -32,6 +32,7 @@
 #include "core/Admission.h" // concurrency limit and queue of one upstream
 #include "core/AdmissionQueue.h" // weighted fair queue with early shedding
 #include "core/Balancer.h" // choice of an upstream, power of two choices in the nearest tier
+#include "core/BaselineDetectors.h" // baselines of the Detector concept
 #include "core/Basics.h" // time, identifiers, outcomes, errors
 #include "core/Configuration.h" // services, routes, policies
 #include "core/Ejection.h" // floor-safe ejection
@@ -41,5 +42,7 @@
 #include "core/Membership.h" // failure detection and dissemination
 #include "core/ObjectStore.h" // the platform's store, as a concept
 #include "core/RelayMessages.h" // messages between nodes
+#include "core/Replay.h" // replay of a trace in virtual time
 #include "core/RetryBudget.h" // bound on retries, decision on another attempt
 #include "core/RoundRobinBalancer.h" // baseline of Balancer
+#include "core/Trace.h" // traces of decision events: format and generator
--- /dev/null
+++ b/src/core/Replay.h
@@ -0,0 +1,931 @@
+// Replay of a trace in virtual time against the decision core, with one small model of an upstream.
+//
+// The replay closes the loop: entries with a balancer and a retry policy each, one admission queue and
+// one detector per upstream, network delays between data centres. It states outcomes; it does not
+// model hosts, queues of the operating system or bandwidth.
+//
+// The policies are template parameters. A factory creates them:
+//
+//     struct Policies {
+//         std::unique_ptr<Balancer> balancer(const Location&, uint64_t seed, uint32_t entryCount) const;
+//         std::unique_ptr<AdmissionQueue> admission(const Service&) const;
+//         std::unique_ptr<NeverSickDetector> detector(const Service&) const;
+//         std::unique_ptr<AttemptPolicy> retry(const Service&) const;
+//     };
+//     ReplayResult result = replay(trace, Policies {}, {});
+#pragma once
+
+#include "AdmissionQueue.h"
+#include "Balancer.h"
+#include "RetryBudget.h"
+#include "Trace.h"
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+
+namespace Gooseberrymill {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Results
+//-----------------------------------------------------------------------------
+
+struct ReplayOptions {
+    uint32_t entriesPerDataCentre = 2;
+    uint64_t seed = 1; // of the policies and of the upstream model
+};
+
+struct ClassOutcome {
+    uint64_t offered = 0;
+    uint64_t good = 0; // complete response within the deadline
+    uint64_t bad = 0; // failed, wrong or unknown
+    uint64_t notRun = 0;
+    uint64_t late = 0; // no answer within the deadline
+    double goodShare() const { return offered ? static_cast<double>(good) / static_cast<double>(offered) : 1; }
+};
+
+struct ReplayResult {
+    std::array<ClassOutcome, workClassCount> classes;
+    std::array<ClassOutcome, workClassCount> peakClasses; // arrivals between peakStart and peakEnd
+    double peakGoodput = 0; // work of good responses during the peak against all slots; lowest of the services
+    Duration drainTime {}; // from the end of the peak (with its ramp) until all queues were empty at once, to 500 ms
+    uint64_t offered = 0;
+    uint64_t attempts = 0; // sent to executors
+    double worstAmplification = 1; // attempts against offered requests in any 10 s
+    std::vector<Duration> shortWaits; // response time without the service time, of good non-stragglers; sorted
+    std::vector<Duration> queueWaits; // from offer to dispatch at the executor, of the same; sorted
+    uint64_t stragglers = 0;
+    uint64_t stragglersGood = 0;
+    std::map<std::pair<std::string, std::string>, uint64_t> crossRegionBytes; // from, to
+    std::map<RefusalReason, uint64_t> refusals; // final answers "not run"
+    uint64_t falseNotRun = 0; // of these, requests that an upstream had started
+    uint64_t repeatedRuns = 0; // non-repeatable requests started more than once
+    std::vector<uint64_t> servedAfterFault; // by upstream, requests dispatched 10 s or more after the first fault
+    uint64_t wrongDelivered = 0; // wrong responses passed on to callers
+    uint64_t crashes = 0;
+    uint64_t degradations = 0;
+    uint64_t ejections = 0;
+
+    uint64_t totalCrossRegionBytes() const
+    {
+        uint64_t sum = 0;
+        for (const auto& [regions, bytes] : crossRegionBytes)
+            sum += bytes;
+        return sum;
+    }
+};
+
+inline Duration percentile(const std::vector<Duration>& sorted, double share)
+{
+    if (sorted.empty())
+        return Duration::zero();
+    return sorted[static_cast<size_t>(share * static_cast<double>(sorted.size() - 1))];
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Model
+//-----------------------------------------------------------------------------
+
+namespace detail {
+
+constexpr Duration gossipDelay = 1s; // until entries know a changed state
+constexpr Duration connectTimeout = 1s; // over a cut path
+constexpr Duration pollInterval = 20ms; // of a queue with waiting requests
+constexpr Duration evaluateInterval = 500ms;
+constexpr Duration coldTime = 10s; // share ramps up and service times come down
+constexpr double coldFactor = 3; // service time of an upstream that has just started
+constexpr Duration shedTime = 1ms; // an upstream answers 503 at once
+constexpr double failureTime = 0.2; // failed responses against the usual service time
+constexpr uint32_t requestBytes = 512;
+constexpr Duration localHop = 100us; // inside a data centre
+
+enum class EventKind : uint8_t {
+    TraceStep,
+    EntryArrival,
+    ExecutorArrival,
+    UpstreamFinish,
+    EntryAnswer,
+    Deadline,
+    PathFailed,
+    Poll,
+    Evaluate,
+    Publish,
+};
+
+struct Event {
+    Duration at {};
+    uint64_t sequence = 0;
+    EventKind kind = EventKind::TraceStep;
+    size_t index = 0;
+    bool operator>(const Event& other) const { return std::tie(at, sequence) > std::tie(other.at, other.sequence); }
+};
+
+struct Request {
+    const TraceArrival* arrival = nullptr;
+    size_t entry = 0;
+    uint32_t attempts = 0;
+    uint32_t runs = 0;
+    size_t current = 0; // attempt in flight
+    bool isAnswered = false;
+    Outcome outcome = Outcome::NotRun; // of all attempts together
+    std::vector<std::string> tried;
+};
+
+enum class AttemptPhase : uint8_t { Sent, Waiting, Running, Ended };
+
+struct Attempt {
+    size_t request = 0;
+    size_t upstream = 0;
+    AttemptPhase phase = AttemptPhase::Sent;
+    Duration offeredAt {};
+    Duration dispatchedAt {};
+    SampleKind kind = SampleKind::Ok;
+    Outcome outcome = Outcome::NotRun;
+    RefusalReason reason = RefusalReason::None;
+    Duration serviceTime {};
+    LoadReport load;
+};
+
+struct UpstreamModel {
+    double slow = 1;
+    double failShare = 0;
+    double wrongShare = 0;
+    double shedShare = 0;
+    bool isLying = false;
+    bool isCrashed = false;
+    bool isDraining = false;
+    Duration coldUntil {};
+    bool isDegraded = false;
+    Duration ejectedUntil {};
+    bool isPolling = false;
+    std::vector<size_t> running; // attempts
+};
+
+} // namespace detail
+
+template <typename Policies> class Replay {
+public:
+    Replay(const Trace& trace, const Policies& policies, const ReplayOptions& options)
+        : m_trace(trace)
+        , m_header(trace.header)
+        , m_options(options)
+        , m_random(options.seed)
+        , m_models(trace.header.upstreams.size())
+    {
+        size_t centres = m_header.dataCentres.size();
+        m_cuts.assign(centres * centres, false);
+        auto entryCount = static_cast<uint32_t>(centres * options.entriesPerDataCentre);
+        for (size_t i = 0; i < entryCount; ++i)
+            m_balancers.push_back(policies.balancer(
+                m_header.dataCentres[i / options.entriesPerDataCentre], options.seed + i, entryCount));
+        for (size_t i = 0; i < entryCount; ++i) {
+            for (const Service& service : m_header.services)
+                m_retries.push_back(policies.retry(service));
+        }
+        for (size_t i = 0; i < m_models.size(); ++i) {
+            const Service& service = m_header.services[m_header.upstreams[i].service];
+            m_queues.push_back(policies.admission(service));
+            m_detectors.push_back(policies.detector(service));
+            m_upstreamIndex.emplace(m_header.upstreams[i].name, i);
+        }
+        m_result.servedAfterFault.resize(m_models.size());
+        m_peakWork.resize(m_header.services.size());
+    }
+
+    ReplayResult run()
+    {
+        publish();
+        if (!m_trace.events.empty())
+            schedule(timeOf(m_trace.events.front()), Kind::TraceStep, 0);
+        schedule(detail::evaluateInterval, Kind::Evaluate, 0);
+        while (!m_events.empty()) {
+            Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            handle(event);
+        }
+        summarise();
+        return std::move(m_result);
+    }
+
+private:
+    using Kind = detail::EventKind;
+    using Event = detail::Event;
+    using Request = detail::Request;
+    using Attempt = detail::Attempt;
+    using Phase = detail::AttemptPhase;
+    using Model = detail::UpstreamModel;
+    using BalancerType = typename decltype(std::declval<Policies>().balancer({}, 0, 0))::element_type;
+    using AdmissionType = typename decltype(std::declval<Policies>().admission({}))::element_type;
+    using DetectorType = typename decltype(std::declval<Policies>().detector({}))::element_type;
+    using RetryType = typename decltype(std::declval<Policies>().retry({}))::element_type;
+    static_assert(Balancing<BalancerType> && Admission<AdmissionType> && Detector<DetectorType> && Retrying<RetryType>);
+
+    static constexpr Duration epoch = 1000s; // virtual time starts away from zero
+
+    Instant now() const { return Instant(epoch + m_now); }
+
+    void schedule(Duration at, Kind kind, size_t index) { m_events.push({ at, ++m_sequence, kind, index }); }
+
+    void handle(const Event& event)
+    {
+        switch (event.kind) {
+        case Kind::TraceStep:
+            return traceStep(event.index);
+        case Kind::EntryArrival:
+            return entryArrival(event.index);
+        case Kind::ExecutorArrival:
+            return executorArrival(event.index);
+        case Kind::UpstreamFinish:
+            return upstreamFinish(event.index);
+        case Kind::EntryAnswer:
+            return entryAnswer(event.index);
+        case Kind::Deadline:
+            return deadlinePassed(event.index);
+        case Kind::PathFailed:
+            return pathFailed(event.index);
+        case Kind::Poll:
+            m_models[event.index].isPolling = false;
+            return serveQueue(event.index);
+        case Kind::Evaluate:
+            return evaluate();
+        case Kind::Publish:
+            return publish();
+        }
+    }
+
+    //-------------------------------------------------------------------------
+    // [SECTION] Trace events
+    //-------------------------------------------------------------------------
+
+    void traceStep(size_t index)
+    {
+        if (index + 1 < m_trace.events.size())
+            schedule(timeOf(m_trace.events[index + 1]), Kind::TraceStep, index + 1);
+        std::visit([this](const auto& event) { apply(event); }, m_trace.events[index]);
+    }
+
+    void apply(const TraceArrival& arrival)
+    {
+        Request request;
+        request.arrival = &arrival;
+        request.entry
+            = arrival.dataCentre * m_options.entriesPerDataCentre + m_random() % m_options.entriesPerDataCentre;
+        m_requests.push_back(std::move(request));
+        schedule(m_now + m_header.callerDelay, Kind::EntryArrival, m_requests.size() - 1);
+        ++m_result.classes[static_cast<size_t>(arrival.workClass)].offered;
+        if (isInPeak(arrival.at))
+            ++m_result.peakClasses[static_cast<size_t>(arrival.workClass)].offered;
+        m_result.stragglers += arrival.isStraggler;
+    }
+
+    void apply(const TraceUpstreamChange& change)
+    {
+        Model& model = m_models[change.upstream];
+        switch (change.kind) {
+        case ChangeKind::Slow:
+            model.slow = change.value;
+            return;
+        case ChangeKind::Fail:
+            model.failShare = change.value;
+            return;
+        case ChangeKind::Wrong:
+            model.wrongShare = change.value;
+            return;
+        case ChangeKind::Shed:
+            model.shedShare = change.value;
+            return;
+        case ChangeKind::Lie:
+            model.isLying = change.value != 0;
+            return;
+        case ChangeKind::PassChecks:
+            return; // only evidence from responses is replayed
+        case ChangeKind::Crash:
+            return crash(change.upstream);
+        case ChangeKind::Restart:
+            return restart(change.upstream);
+        case ChangeKind::Drain:
+            model.isDraining = true;
+            schedule(m_now + detail::gossipDelay, Kind::Publish, 0);
+            return;
+        }
+    }
+
+    void apply(const TracePathCut& cut) { m_cuts[cut.from * m_header.dataCentres.size() + cut.to] = cut.isCut; }
+
+    void apply(const TraceRegionCut& cut)
+    {
+        size_t centres = m_header.dataCentres.size();
+        for (size_t from = 0; from < centres; ++from) {
+            for (size_t to = 0; to < centres; ++to) {
+                bool leaves = (m_header.dataCentres[from].region == cut.region)
+                    != (m_header.dataCentres[to].region == cut.region);
+                if (leaves)
+                    m_cuts[from * centres + to] = cut.isCut;
+            }
+        }
+    }
+
+    void crash(size_t upstream)
+    {
+        ++m_result.crashes;
+        m_models[upstream].isCrashed = true;
+        std::vector<size_t> running;
+        running.swap(m_models[upstream].running);
+        for (size_t index : running) {
+            m_attempts[index].outcome = Outcome::Unknown;
+            m_attempts[index].reason = RefusalReason::UpstreamCrashed;
+            m_queues[upstream]->finish(index, m_now - m_attempts[index].dispatchedAt, false, now());
+            answer(index);
+        }
+        serveQueue(upstream);
+        schedule(m_now + detail::gossipDelay, Kind::Publish, 0);
+    }
+
+    void restart(size_t upstream)
+    {
+        Model& model = m_models[upstream];
+        model.isCrashed = false;
+        model.isDraining = false;
+        model.coldUntil = m_now + detail::coldTime;
+        m_detectors[upstream]->reset(now());
+        for (Duration step = detail::gossipDelay; step <= detail::coldTime + detail::gossipDelay; step += 1s)
+            schedule(m_now + step, Kind::Publish, 0);
+    }
+
+    //-------------------------------------------------------------------------
+    // [SECTION] Network
+    //-------------------------------------------------------------------------
+
+    size_t centreOfEntry(size_t entry) const { return entry / m_options.entriesPerDataCentre; }
+    size_t centreOfUpstream(size_t upstream) const { return m_header.upstreams[upstream].dataCentre; }
+
+    Duration delay(size_t from, size_t to) const
+    {
+        if (from == to)
+            return detail::localHop;
+        bool sameRegion = m_header.dataCentres[from].region == m_header.dataCentres[to].region;
+        return sameRegion ? m_header.localDelay : m_header.regionDelay;
+    }
+
+    bool isCut(size_t from, size_t to) const { return m_cuts[from * m_header.dataCentres.size() + to]; }
+
+    void countBytes(size_t from, size_t to, uint32_t bytes)
+    {
+        const std::string& a = m_header.dataCentres[from].region;
+        const std::string& b = m_header.dataCentres[to].region;
+        if (a != b)
+            m_result.crossRegionBytes[{ a, b }] += bytes;
+    }
+
+    //-------------------------------------------------------------------------
+    // [SECTION] Entry
+    //-------------------------------------------------------------------------
+
+    BalancerType& balancerOf(const Request& request) { return *m_balancers[request.entry]; }
+    RetryType& retryOf(const Request& request)
+    {
+        return *m_retries[request.entry * m_header.services.size() + request.arrival->service];
+    }
+
+    bool isRepeatable(const Request& request) const
+    {
+        return m_header.services[request.arrival->service].routes[request.arrival->route].repeatable;
+    }
+
+    // Time at which the entry must have the answer.
+    Duration deadlineOf(const Request& request) const
+    {
+        return request.arrival->at + request.arrival->deadline - m_header.callerDelay;
+    }
+
+    void entryArrival(size_t index)
+    {
+        Request& request = m_requests[index];
+        ++m_result.offered;
+        count(m_offeredBySecond);
+        retryOf(request).offered(now());
+        schedule(deadlineOf(request), Kind::Deadline, index);
+        attempt(index);
+    }
+
+    void attempt(size_t index)
+    {
+        Request& request = m_requests[index];
+        BalanceRequest wanted;
+        wanted.service = m_header.services[request.arrival->service].name;
+        wanted.workClass = request.arrival->workClass;
+        wanted.repeatable = isRepeatable(request);
+        if (request.arrival->operation)
+            wanted.affinity = request.arrival->operation;
+        wanted.exclude = request.tried;
+        const Candidate* candidate = balancerOf(request).choose(wanted, now());
+        if (!candidate)
+            return finish(index, RefusalReason::NoUpstream, SampleKind::Failed);
+        send(index, m_upstreamIndex.at(candidate->upstream));
+    }
+
+    void send(size_t index, size_t upstream)
+    {
+        Request& request = m_requests[index];
+        const std::string& name = m_header.upstreams[upstream].name;
+        ++request.attempts;
+        request.tried.push_back(name);
+        request.current = m_attempts.size();
+        Attempt attempt;
+        attempt.request = index;
+        attempt.upstream = upstream;
+        m_attempts.push_back(attempt);
+        balancerOf(request).started(name, now());
+        size_t from = centreOfEntry(request.entry);
+        size_t to = centreOfUpstream(upstream);
+        if (isCut(from, to) || isCut(to, from)) // no connection is established
+            return schedule(m_now + detail::connectTimeout, Kind::PathFailed, request.current);
+        ++m_result.attempts;
+        count(m_attemptsBySecond);
+        countBytes(from, to, detail::requestBytes);
+        schedule(m_now + delay(from, to), Kind::ExecutorArrival, request.current);
+    }
+
+    void pathFailed(size_t index)
+    {
+        Attempt& attempt = m_attempts[index];
+        Request& request = m_requests[attempt.request];
+        attempt.phase = Phase::Ended;
+        balancerOf(request).abandoned(m_header.upstreams[attempt.upstream].name, now());
+        balancerOf(request).pathResult(nodeOf(attempt.upstream), false, now());
+        attempt.reason = RefusalReason::UpstreamUnreachable;
+        if (!request.isAnswered)
+            concludeAttempt(index);
+    }
+
+    void entryAnswer(size_t index)
+    {
+        Attempt& attempt = m_attempts[index];
+        Request& request = m_requests[attempt.request];
+        if (request.isAnswered)
+            return;
+        balancerOf(request).finished(m_header.upstreams[attempt.upstream].name, attempt.load, now());
+        balancerOf(request).pathResult(nodeOf(attempt.upstream), true, now());
+        concludeAttempt(index);
+    }
+
+    void concludeAttempt(size_t index)
+    {
+        const Attempt attempt = m_attempts[index];
+        Request& request = m_requests[attempt.request];
+        request.outcome = std::max(request.outcome, attempt.outcome);
+        if (attempt.outcome == Outcome::Ran && attempt.kind == SampleKind::Ok)
+            return good(attempt.request, attempt);
+        AttemptState state;
+        state.repeatable = isRepeatable(request);
+        state.outcome = request.outcome;
+        state.attempts = request.attempts;
+        state.deadlineLeft = deadlineOf(request) - m_now;
+        if (retryOf(request).mayRetry(state, now()))
+            return this->attempt(attempt.request);
+        finish(attempt.request, attempt.reason, attempt.kind);
+    }
+
+    void good(size_t index, const Attempt& attempt)
+    {
+        Request& request = m_requests[index];
+        request.isAnswered = true;
+        const TraceArrival& arrival = *request.arrival;
+        forOutcomes(arrival, [](ClassOutcome& outcome) { ++outcome.good; });
+        if (isInFullPeak(m_now))
+            m_peakWork[arrival.service] += static_cast<double>(arrival.demand.count());
+        if (arrival.isStraggler) {
+            ++m_result.stragglersGood;
+            return;
+        }
+        m_result.shortWaits.push_back(m_now + m_header.callerDelay - arrival.at - attempt.serviceTime);
+        m_result.queueWaits.push_back(attempt.dispatchedAt - attempt.offeredAt);
+    }
+
+    // The caller gets no good answer.
+    void finish(size_t index, RefusalReason reason, SampleKind kind)
+    {
+        Request& request = m_requests[index];
+        request.isAnswered = true;
+        bool notRun = request.outcome == Outcome::NotRun;
+        forOutcomes(*request.arrival, [&](ClassOutcome& outcome) { ++(notRun ? outcome.notRun : outcome.bad); });
+        m_result.wrongDelivered += !notRun && kind == SampleKind::Wrong;
+        if (!notRun)
+            return;
+        ++m_result.refusals[reason];
+        m_result.falseNotRun += request.runs > 0;
+    }
+
+    void deadlinePassed(size_t index)
+    {
+        Request& request = m_requests[index];
+        if (request.isAnswered)
+            return;
+        request.isAnswered = true;
+        forOutcomes(*request.arrival, [](ClassOutcome& outcome) { ++outcome.late; });
+        if (!request.attempts)
+            return;
+        Attempt& attempt = m_attempts[request.current];
+        balancerOf(request).abandoned(m_header.upstreams[attempt.upstream].name, now());
+        size_t from = centreOfEntry(request.entry);
+        if (isCut(from, centreOfUpstream(attempt.upstream)))
+            return;
+        abandon(request.current);
+    }
+
+    // The executor learns that nobody waits any more.
+    void abandon(size_t index)
+    {
+        Attempt& attempt = m_attempts[index];
+        size_t upstream = attempt.upstream;
+        if (attempt.phase == Phase::Waiting) {
+            attempt.phase = Phase::Ended;
+            m_queues[upstream]->cancel(index, now());
+        } else if (attempt.phase == Phase::Running && isRepeatable(m_requests[attempt.request])) {
+            attempt.phase = Phase::Ended;
+            std::erase(m_models[upstream].running, index);
+            m_queues[upstream]->finish(index, m_now - attempt.dispatchedAt, false, now());
+        }
+        serveQueue(upstream);
+    }
+
+    //-------------------------------------------------------------------------
+    // [SECTION] Executor and upstream
+    //-------------------------------------------------------------------------
+
+    UpstreamState stateOf(size_t upstream) const
+    {
+        const Model& model = m_models[upstream];
+        if (model.isCrashed)
+            return UpstreamState::Gone;
+        if (model.isDraining)
+            return UpstreamState::Draining;
+        if (model.ejectedUntil > m_now)
+            return UpstreamState::Ejected;
+        if (model.isDegraded)
+            return UpstreamState::Degraded;
+        return model.coldUntil > m_now ? UpstreamState::Cold : UpstreamState::Ready;
+    }
+
+    void executorArrival(size_t index)
+    {
+        Attempt& attempt = m_attempts[index];
+        const Request& request = m_requests[attempt.request];
+        size_t upstream = attempt.upstream;
+        attempt.offeredAt = m_now;
+        UpstreamState state = stateOf(upstream);
+        if (state == UpstreamState::Gone)
+            return refuse(index, RefusalReason::UpstreamUnreachable);
+        if (state == UpstreamState::Draining)
+            return refuse(index, RefusalReason::Draining);
+        if (state == UpstreamState::Ejected)
+            return refuse(index, RefusalReason::Ejected);
+        Duration back = delay(centreOfUpstream(upstream), centreOfEntry(request.entry));
+        AdmissionRequest offer;
+        offer.ticket = index;
+        offer.workClass = request.arrival->workClass;
+        offer.workKey = request.arrival->route;
+        offer.deadline = Instant(epoch + deadlineOf(request) - back);
+        AdmissionDecision decision = m_queues[upstream]->offer(offer, now());
+        if (decision.verdict == AdmissionVerdict::Refuse)
+            refuse(index, decision.reason);
+        else if (decision.verdict == AdmissionVerdict::Dispatch)
+            dispatch(index);
+        else
+            attempt.phase = Phase::Waiting;
+        serveQueue(upstream);
+    }
+
+    void refuse(size_t index, RefusalReason reason)
+    {
+        m_attempts[index].outcome = Outcome::NotRun;
+        m_attempts[index].reason = reason;
+        answer(index);
+    }
+
+    void serveQueue(size_t upstream)
+    {
+        auto& queue = *m_queues[upstream];
+        while (auto refusal = queue.takeExpired(now()))
+            refuse(refusal->ticket, refusal->reason);
+        while (auto ticket = queue.takeReady(now()))
+            start(*ticket);
+        while (auto refusal = queue.takeExpired(now()))
+            refuse(refusal->ticket, refusal->reason);
+        Model& model = m_models[upstream];
+        if (queue.report().queued && !model.isPolling) {
+            model.isPolling = true;
+            schedule(m_now + detail::pollInterval, Kind::Poll, upstream);
+        }
+    }
+
+    // A waiting request got a slot. The upstream may have crashed in the meantime.
+    void start(size_t index)
+    {
+        if (!m_models[m_attempts[index].upstream].isCrashed)
+            return dispatch(index);
+        m_queues[m_attempts[index].upstream]->finish(index, Duration::zero(), false, now());
+        refuse(index, RefusalReason::UpstreamUnreachable);
+    }
+
+    void dispatch(size_t index)
+    {
+        Attempt& attempt = m_attempts[index];
+        Request& request = m_requests[attempt.request];
+        Model& model = m_models[attempt.upstream];
+        attempt.phase = Phase::Running;
+        attempt.dispatchedAt = m_now;
+        attempt.outcome = Outcome::Ran;
+        model.running.push_back(index);
+        m_result.repeatedRuns += ++request.runs > 1 && !isRepeatable(request);
+        if (m_header.faultAt > Duration::zero() && m_now >= m_header.faultAt + 10s)
+            ++m_result.servedAfterFault[attempt.upstream];
+        attempt.kind = draw(model);
+        attempt.serviceTime = serviceTime(attempt.upstream, *request.arrival, attempt.kind);
+        schedule(m_now + attempt.serviceTime, Kind::UpstreamFinish, index);
+    }
+
+    SampleKind draw(const Model& model)
+    {
+        double value = std::uniform_real_distribution<>()(m_random);
+        if (value < model.shedShare)
+            return SampleKind::Shed;
+        value -= model.shedShare;
+        if (value < model.failShare)
+            return SampleKind::Failed;
+        value -= model.failShare;
+        return value < model.wrongShare ? SampleKind::Wrong : SampleKind::Ok;
+    }
+
+    Duration serviceTime(size_t upstream, const TraceArrival& arrival, SampleKind kind) const
+    {
+        if (kind == SampleKind::Shed)
+            return detail::shedTime;
+        const Model& model = m_models[upstream];
+        double time = static_cast<double>(arrival.demand.count()) * model.slow;
+        time *= std::max(1.0, static_cast<double>(model.running.size()) / m_header.upstreams[upstream].realSlots);
+        if (model.coldUntil > m_now) {
+            double cold = static_cast<double>((model.coldUntil - m_now).count()) / detail::coldTime.count();
+            time *= 1 + (detail::coldFactor - 1) * cold;
+        }
+        if (kind == SampleKind::Failed)
+            time *= detail::failureTime;
+        return Duration(static_cast<int64_t>(time) + 1);
+    }
+
+    void upstreamFinish(size_t index)
+    {
+        Attempt& attempt = m_attempts[index];
+        if (attempt.phase != Phase::Running)
+            return;
+        size_t upstream = attempt.upstream;
+        const TraceArrival& arrival = *m_requests[attempt.request].arrival;
+        if (arrival.isPoison) {
+            crash(upstream);
+            TraceUpstreamChange back;
+            back.upstream = static_cast<uint16_t>(upstream);
+            back.kind = ChangeKind::Restart;
+            return restart(upstream);
+        }
+        std::erase(m_models[upstream].running, index);
+        m_detectors[upstream]->record({ attempt.kind, arrival.route, attempt.serviceTime }, now());
+        bool completed = attempt.kind == SampleKind::Ok || attempt.kind == SampleKind::Wrong;
+        m_queues[upstream]->finish(index, attempt.serviceTime, completed, now());
+        answer(index);
+        serveQueue(upstream);
+    }
+
+    // Sends the response or refusal back to the entry, with a load report.
+    void answer(size_t index)
+    {
+        Attempt& attempt = m_attempts[index];
+        attempt.phase = Phase::Ended;
+        size_t upstream = attempt.upstream;
+        attempt.load = m_queues[upstream]->report();
+        attempt.load.state = stateOf(upstream);
+        if (m_models[upstream].isLying)
+            attempt.load.running = attempt.load.queued = 0;
+        const Request& request = m_requests[attempt.request];
+        size_t from = centreOfUpstream(upstream);
+        size_t to = centreOfEntry(request.entry);
+        bool isResponse = attempt.outcome == Outcome::Ran;
+        countBytes(from, to, isResponse ? request.arrival->responseBytes : detail::requestBytes);
+        if (!isCut(from, to))
+            schedule(m_now + delay(from, to), Kind::EntryAnswer, index);
+    }
+
+    //-------------------------------------------------------------------------
+    // [SECTION] Detection
+    //-------------------------------------------------------------------------
+
+    std::vector<HealthSummary> summariesExcept(size_t upstream) const
+    {
+        std::vector<HealthSummary> peers;
+        if constexpr (requires(const DetectorType& detector) { detector.summary(); }) {
+            for (size_t i = 0; i < m_detectors.size(); ++i) {
+                if (i != upstream && m_header.upstreams[i].service == m_header.upstreams[upstream].service)
+                    peers.push_back(m_detectors[i]->summary());
+            }
+        }
+        return peers;
+    }
+
+    bool floorAllowsEjection(size_t upstream) const
+    {
+        uint16_t service = m_header.upstreams[upstream].service;
+        uint32_t slots = 0;
+        for (size_t i = 0; i < m_models.size(); ++i) {
+            UpstreamState state = stateOf(i);
+            bool isEligible = state == UpstreamState::Ready || state == UpstreamState::Degraded;
+            if (i != upstream && isEligible && m_header.upstreams[i].service == service)
+                slots += m_header.upstreams[i].slots;
+        }
+        return slots >= m_header.services[service].floorSlots;
+    }
+
+    void evaluate()
+    {
+        for (size_t i = 0; i < m_models.size(); ++i)
+            judge(i, m_detectors[i]->evaluate(summariesExcept(i), now()));
+        if (!m_isDrained && m_now >= m_header.peakEnd + peakRamp)
+            checkDrained();
+        if (m_now < m_header.duration)
+            schedule(m_now + detail::evaluateInterval, Kind::Evaluate, 0);
+    }
+
+    void judge(size_t upstream, Verdict verdict)
+    {
+        Model& model = m_models[upstream];
+        if (model.ejectedUntil > m_now)
+            return;
+        bool isSick = verdict == Verdict::Sick;
+        if (isSick == model.isDegraded)
+            return;
+        model.isDegraded = isSick;
+        schedule(m_now + detail::gossipDelay, Kind::Publish, 0);
+        if (!isSick)
+            return;
+        ++m_result.degradations;
+        if (!floorAllowsEjection(upstream))
+            return;
+        ++m_result.ejections;
+        model.isDegraded = false;
+        model.ejectedUntil = m_now + m_header.services[m_header.upstreams[upstream].service].detection.probation;
+        m_detectors[upstream]->reset(now());
+        schedule(model.ejectedUntil + detail::gossipDelay, Kind::Publish, 0);
+    }
+
+    void checkDrained()
+    {
+        auto isEmpty = [](const auto& queue) { return !queue->report().queued; };
+        m_isDrained = std::all_of(m_queues.begin(), m_queues.end(), isEmpty);
+        m_result.drainTime = m_now - m_header.peakEnd;
+    }
+
+    std::string nodeOf(size_t upstream) const { return "node-" + m_header.upstreams[upstream].name; }
+
+    void publish()
+    {
+        auto candidates = std::make_shared<CandidateList>();
+        for (size_t i = 0; i < m_models.size(); ++i) {
+            const TraceUpstream& upstream = m_header.upstreams[i];
+            Candidate candidate;
+            candidate.upstream = upstream.name;
+            candidate.service = m_header.services[upstream.service].name;
+            candidate.node = nodeOf(i);
+            candidate.location = m_header.dataCentres[upstream.dataCentre];
+            candidate.slots = upstream.slots;
+            candidate.state = stateOf(i);
+            if (m_models[i].coldUntil > m_now) {
+                double cold = static_cast<double>((m_models[i].coldUntil - m_now).count()) / detail::coldTime.count();
+                candidate.share = std::clamp(1 - cold, 0.1, 1.0);
+            }
+            candidates->push_back(std::move(candidate));
+        }
+        std::sort(candidates->begin(), candidates->end(), [](const Candidate& a, const Candidate& b) {
+            return std::tie(a.service, a.upstream) < std::tie(b.service, b.upstream);
+        });
+        for (auto& balancer : m_balancers)
+            balancer->setCandidates(candidates, now());
+    }
+
+    //-------------------------------------------------------------------------
+    // [SECTION] Outcomes
+    //-------------------------------------------------------------------------
+
+    static constexpr Duration peakRamp = 2s;
+
+    bool isInPeak(Duration at) const { return at >= m_header.peakStart && at < m_header.peakEnd; }
+    bool isInFullPeak(Duration at) const { return at >= m_header.peakStart + peakRamp && at < m_header.peakEnd; }
+
+    template <typename Function> void forOutcomes(const TraceArrival& arrival, Function function)
+    {
+        auto index = static_cast<size_t>(arrival.workClass);
+        function(m_result.classes[index]);
+        if (isInPeak(arrival.at))
+            function(m_result.peakClasses[index]);
+    }
+
+    void count(std::vector<uint64_t>& bySecond) const
+    {
+        auto second = static_cast<size_t>(m_now / 1s);
+        if (bySecond.size() <= second)
+            bySecond.resize(second + 1);
+        ++bySecond[second];
+    }
+
+    void summarise()
+    {
+        std::sort(m_result.shortWaits.begin(), m_result.shortWaits.end());
+        std::sort(m_result.queueWaits.begin(), m_result.queueWaits.end());
+        if (m_header.peakEnd > m_header.peakStart)
+            summarisePeak();
+        constexpr size_t window = 10;
+        m_attemptsBySecond.resize(m_offeredBySecond.size());
+        for (size_t i = 0; i + window <= m_offeredBySecond.size(); ++i) {
+            uint64_t offered = 0;
+            uint64_t attempts = 0;
+            for (size_t n = i; n < i + window; ++n) {
+                offered += m_offeredBySecond[n];
+                attempts += m_attemptsBySecond[n];
+            }
+            if (offered)
+                m_result.worstAmplification = std::max(
+                    m_result.worstAmplification, static_cast<double>(attempts) / static_cast<double>(offered));
+        }
+    }
+
+    void summarisePeak()
+    {
+        double length = static_cast<double>((m_header.peakEnd - m_header.peakStart - peakRamp).count());
+        m_result.peakGoodput = 1;
+        for (size_t i = 0; i < m_peakWork.size(); ++i) {
+            double slots = 0;
+            for (const TraceUpstream& upstream : m_header.upstreams)
+                slots += upstream.service == i ? upstream.realSlots : 0;
+            m_result.peakGoodput = std::min(m_result.peakGoodput, m_peakWork[i] / (slots * length));
+        }
+    }
+
+    const Trace& m_trace;
+    const TraceHeader& m_header;
+    ReplayOptions m_options;
+    std::mt19937_64 m_random;
+    Duration m_now {};
+    uint64_t m_sequence = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::vector<bool> m_cuts; // by pair of data centres
+    std::vector<std::unique_ptr<BalancerType>> m_balancers; // by entry
+    std::vector<std::unique_ptr<RetryType>> m_retries; // by entry and service
+    std::vector<std::unique_ptr<AdmissionType>> m_queues; // by upstream
+    std::vector<std::unique_ptr<DetectorType>> m_detectors; // by upstream
+    std::vector<Model> m_models; // by upstream
+    std::unordered_map<std::string, size_t> m_upstreamIndex;
+    std::vector<Request> m_requests;
+    std::vector<Attempt> m_attempts;
+    std::vector<double> m_peakWork; // by service, microseconds
+    std::vector<uint64_t> m_offeredBySecond;
+    std::vector<uint64_t> m_attemptsBySecond;
+    bool m_isDrained = false;
+    ReplayResult m_result;
+};
+
+template <typename Policies>
+ReplayResult replay(const Trace& trace, const Policies& policies, const ReplayOptions& options = {})
+{
+    return Replay<Policies>(trace, policies, options).run();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Policies
+//-----------------------------------------------------------------------------
+
+template <typename BalancerType, typename AdmissionType, typename DetectorType, typename RetryType>
+struct ReplayPolicies {
+    std::unique_ptr<BalancerType> balancer(const Location& location, uint64_t seed, uint32_t entryCount) const
+    {
+        if constexpr (std::is_constructible_v<BalancerType, Location, uint64_t, BalancerOptions>) {
+            BalancerOptions options;
+            options.entryCount = entryCount;
+            return std::make_unique<BalancerType>(location, seed, options);
+        } else {
+            (void)entryCount;
+            return std::make_unique<BalancerType>(location, seed);
+        }
+    }
+    std::unique_ptr<AdmissionType> admission(const Service& service) const
+    {
+        return std::make_unique<AdmissionType>(service);
+    }
+    std::unique_ptr<DetectorType> detector(const Service& service) const
+    {
+        return std::make_unique<DetectorType>(service.detection);
+    }
+    std::unique_ptr<RetryType> retry(const Service& service) const
+    {
+        return std::make_unique<RetryType>(service.retry);
+    }
+};
+
+} // namespace Gooseberrymill
