--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -32,6 +32,7 @@
 #include "core/Admission.h" // concurrency limit and queue of one upstream
 #include "core/AdmissionQueue.h" // weighted fair queue with early shedding
 #include "core/Balancer.h" // choice of an upstream, power of two choices in the nearest tier
+#include "core/BaselineDetectors.h" // baselines of the Detector concept
 #include "core/Basics.h" // time, identifiers, outcomes, errors
 #include "core/ClaimLedger.h" // claims of idempotency keys in the store
 #include "core/Configuration.h" // services, routes, policies
@@ -45,5 +46,7 @@
 #include "core/OperationTable.h" // at-most-once execution at one executor
 #include "core/QueryOfDeathFilter.h" // requests that crash upstreams
 #include "core/RelayMessages.h" // messages between nodes
+#include "core/Replay.h" // replay of a trace in virtual time
 #include "core/RetryBudget.h" // bound on retries, decision on another attempt
 #include "core/RoundRobinBalancer.h" // baseline of Balancer
+#include "core/Trace.h" // traces of decision events: format and generator
