Add HealthMonitor, UpstreamCondition and PathMonitor

Cause: upstreams that fail, answer wrongly or are slow while they pass their checks must lose their traffic, and healthy ones must keep it.

Change: HealthMonitor runs two Bernoulli CUSUMs per kind of work, with a threshold derived from the false alarm rate and the sample rate, against the peers' summaries.

--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -35,6 +35,9 @@
 #include "core/Configuration.h" // services, routes, policies
 #include "core/Ejection.h" // floor-safe ejection
 #include "core/Health.h" // evidence and verdicts
+#include "core/HealthMonitor.h" // detection of unhealthy upstreams
 #include "core/Membership.h" // failure detection and dissemination
 #include "core/ObjectStore.h" // the platform's store, as a concept
+#include "core/PathMonitor.h" // path evidence of an entry
 #include "core/RelayMessages.h" // messages between nodes
+#include "core/UpstreamCondition.h" // states, probation and ramp of an upstream
--- /dev/null
+++ b/src/core/HealthMonitor.cpp
@@ -0,0 +1,389 @@
+#include "HealthMonitor.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr double secondsPerYear = 365.25 * 86400;
+constexpr double minSamplesPerSecond = 0.1; // keeps the threshold sensible before a rate is known
+constexpr double rateSeconds = 60; // memory of the rate estimate
+constexpr double centreSeconds = 30; // memory of the slowly following centre
+constexpr double longTermAnswers = 3000; // memory of the peers' long-term failure shares, in answers
+constexpr double minBadShare = 0.001; // failures expected of every upstream
+constexpr double badShareMargin = 1.5;
+constexpr double recentAnswers = 10; // memory of the peers' recent failure shares, in answers
+constexpr double recentMargin = 1.2;
+constexpr double maxSingleShare = 0.03;
+constexpr double minBadDifference = 0.05; // a failing upstream does not stand out of a failing service
+constexpr double stragglerAllowance = 0.05; // slow answers expected beyond the normal tail
+constexpr double slowShareMargin = 1.5;
+constexpr double slowShareWeight = 1.0 / 500; // memory of the upstream's own share of slow answers
+constexpr double ownShareWeight = 1.0 / 20; // memory behind the severity
+constexpr double maxUnhealthyShare = 0.95;
+constexpr double minShareDifference = 0.25; // below it the two hypotheses are too close to test
+constexpr double learningLimit = 1.0 / 3; // of the threshold; above it the own slow share is not learned
+constexpr double clearLimit = 0.5; // of the Suspect threshold; below it the verdict returns to Healthy
+constexpr double statisticLimit = 1.25; // of the Sick threshold; bounds the time to recover
+constexpr double severityPerBadShare = 8; // makes a failure share of 0.2 as severe as a slowdown by five
+constexpr double quartileRangeOfNormal = 1.349;
+constexpr double minLogDeviation = 0.1;
+constexpr uint32_t minPeerAnswers = 4; // pooled over all peers
+constexpr size_t laterAnswers = 3; // an answer is judged after this many later ones
+constexpr size_t windowAnswers = 4; // kept in the window even when they are older than it
+constexpr size_t maxAnswers = 512; // bounds memory per kind of work
+constexpr size_t varianceAnswers = 64;
+constexpr size_t maxWork = 64; // kinds of work tracked
+constexpr Duration maxWindow = 60s;
+constexpr Duration maxPending = 30s; // an answer this old is judged without later ones
+constexpr Duration peerLifetime = 1min; // a peer without summaries is forgotten
+constexpr Duration workLifetime = 10min; // a kind of work without answers is forgotten
+
+double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+double normalTail(double z) { return 0.5 * std::erfc(z / std::sqrt(2.0)); }
+
+struct Weighted {
+    double value = 0;
+    double weight = 0;
+};
+
+double weightedMedian(std::vector<Weighted>& items)
+{
+    std::ranges::sort(items, {}, &Weighted::value);
+    double half = 0;
+    for (const Weighted& it : items)
+        half += it.weight / 2;
+    double sum = 0;
+    for (const Weighted& it : items) {
+        sum += it.weight;
+        if (sum >= half)
+            return it.value;
+    }
+    return items.back().value;
+}
+
+const WorkSummary* findWork(const HealthSummary& summary, uint32_t key)
+{
+    auto it = std::ranges::find(summary.work, key, &WorkSummary::workKey);
+    return it == summary.work.end() || !it->count ? nullptr : &*it;
+}
+
+// Mean over the peers without the worst quarter, so that a few unhealthy peers do not hide another one. A
+// failure of the whole service still shows.
+double trimmedMean(std::vector<double>& shares)
+{
+    if (shares.empty())
+        return 0;
+    std::ranges::sort(shares);
+    size_t kept = shares.size() - shares.size() / 4;
+    double sum = 0;
+    for (size_t i = 0; i < kept; ++i)
+        sum += shares[i];
+    return sum / static_cast<double>(kept);
+}
+
+} // namespace
+
+double alarmThreshold(double samplesPerSecond, double tests, double falseAlarmsPerYear)
+{
+    assert(falseAlarmsPerYear > 0);
+    double samples = std::max(samplesPerSecond, minSamplesPerSecond) * secondsPerYear;
+    return std::log(std::max(samples * tests / falseAlarmsPerYear, 2.0));
+}
+
+void BernoulliCusum::add(bool bad, double healthyShare, double unhealthyShare, double limit)
+{
+    double ratio = bad ? std::log(unhealthyShare / healthyShare) : std::log((1 - unhealthyShare) / (1 - healthyShare));
+    m_value = std::clamp(m_value + ratio, 0.0, limit);
+}
+
+HealthMonitor::HealthMonitor(const HealthMonitorOptions& options)
+    : m_options(options)
+{
+}
+
+HealthMonitor::Work& HealthMonitor::workFor(uint32_t key, Instant now)
+{
+    auto it = std::ranges::find(m_work, key, &Work::key);
+    if (it != m_work.end())
+        return *it;
+    if (m_work.size() >= maxWork)
+        m_work.erase(std::ranges::min_element(m_work, {}, &Work::lastAt));
+    Work& work = m_work.emplace_back();
+    work.key = key;
+    work.firstAt = now;
+    work.lastAt = now;
+    work.referenceAt = now;
+    return work;
+}
+
+void HealthMonitor::record(const Sample& sample, Instant now)
+{
+    if (m_cold || sample.kind == SampleKind::Shed || sample.kind == SampleKind::Cancelled)
+        return;
+    Work& work = workFor(sample.workKey, now);
+    assert(now >= work.lastAt);
+    work.arrivals = work.arrivals * std::exp(-seconds(now - work.lastAt) / rateSeconds) + 1;
+    work.lastAt = now;
+
+    Answer answer { now, 0, sample.kind != SampleKind::Ok };
+    answer.logTime = static_cast<float>(std::log(std::max<double>(1, static_cast<double>(sample.serviceTime.count()))));
+    work.window.push_back(answer);
+    work.pending.push_back(answer);
+    if (work.window.size() > maxAnswers)
+        work.window.pop_front();
+    if (work.pending.size() > maxAnswers)
+        work.pending.pop_front();
+    if (answer.bad)
+        return;
+    work.times.push_back(answer.logTime);
+    if (work.times.size() > varianceAnswers)
+        work.times.pop_front();
+}
+
+double HealthMonitor::samplesPerSecond(const Work& work, Instant now) const
+{
+    double age = std::max(1.0, seconds(now - work.firstAt));
+    double decayed = work.arrivals * std::exp(-seconds(now - work.lastAt) / rateSeconds);
+    return decayed / (rateSeconds * (1 - std::exp(-age / rateSeconds)));
+}
+
+double HealthMonitor::threshold(const Work& work, double alarmFactor, Instant now) const
+{
+    double tests = 2.0 * static_cast<double>(m_work.size());
+    return alarmThreshold(
+        samplesPerSecond(work, now), tests, alarmFactor * m_options.policy.falseAlarmsPerUpstreamYear);
+}
+
+void HealthMonitor::updatePeerShares(
+    Work& work, std::span<const HealthSummary> peers, double elapsed, Instant now) const
+{
+    double answers = elapsed * samplesPerSecond(work, now);
+    double weight = 1 - std::exp(-answers / longTermAnswers);
+    double recentWeight = 1 - std::exp(-answers / recentAnswers);
+    for (const HealthSummary& peer : peers) {
+        const WorkSummary* summary = findWork(peer, work.key);
+        if (!summary)
+            continue;
+        auto it = std::ranges::find(work.peers, peer.upstream, &PeerShare::upstream);
+        if (it == work.peers.end())
+            it = work.peers.insert(work.peers.end(), { peer.upstream, minBadShare, minBadShare, now });
+        double share = static_cast<double>(summary->bad) / summary->count;
+        it->share += weight * (share - it->share);
+        it->recent += recentWeight * (share - it->recent);
+        it->seen = now;
+    }
+    std::erase_if(work.peers, [now](const PeerShare& it) { return now - it.seen > peerLifetime; });
+}
+
+double HealthMonitor::expectedBadShare(const Work& work) const
+{
+    std::vector<Weighted> longTerm;
+    std::vector<double> recent;
+    for (const PeerShare& it : work.peers) {
+        longTerm.push_back({ it.share, 1 });
+        recent.push_back(it.recent);
+    }
+    if (longTerm.empty())
+        return minBadShare;
+    // A single bad answer among the peers' recent ones is no sign of a service-wide failure.
+    double single = std::min(maxSingleShare, 1 / (recentAnswers * static_cast<double>(recent.size())));
+    return std::max(
+        { minBadShare, badShareMargin * weightedMedian(longTerm), recentMargin * (trimmedMean(recent) - single) });
+}
+
+std::optional<HealthMonitor::Reference> HealthMonitor::reference(
+    Work& work, std::span<const HealthSummary> peers, Instant now) const
+{
+    std::vector<Weighted> centres;
+    std::vector<Weighted> variances;
+    uint32_t answers = 0;
+    for (const HealthSummary& peer : peers) {
+        const WorkSummary* summary = findWork(peer, work.key);
+        if (!summary)
+            continue;
+        answers += summary->count;
+        uint32_t good = summary->count - std::min(summary->count, summary->bad);
+        if (!good)
+            continue;
+        centres.push_back({ summary->logMean, static_cast<double>(good) });
+        variances.push_back({ summary->logVariance, static_cast<double>(good) });
+    }
+    if (answers < minPeerAnswers)
+        return std::nullopt;
+
+    double elapsed = seconds(now - work.referenceAt);
+    work.referenceAt = now;
+    Reference result;
+    updatePeerShares(work, peers, elapsed, now);
+    result.badShare = expectedBadShare(work);
+    if (centres.empty())
+        return result;
+    double centre = weightedMedian(centres);
+    if (!work.centre)
+        work.centre = centre;
+    *work.centre += (1 - std::exp(-elapsed / centreSeconds)) * (centre - *work.centre);
+    result.centre = std::max(centre, *work.centre);
+    result.deviation = std::max(minLogDeviation, std::sqrt(weightedMedian(variances)));
+    result.hasTimes = true;
+    return result;
+}
+
+void HealthMonitor::judge(Work& work, const Answer& answer, const Reference& ref, double limit) const
+{
+    double badShare = std::min(ref.badShare, 1.0);
+    double unhealthyBadShare = 1 - (1 - badShare) * (1 - m_options.policy.failureShare);
+    if (unhealthyBadShare - badShare >= minBadDifference)
+        work.failures.add(answer.bad, badShare, unhealthyBadShare, limit);
+    work.ownBadShare += ownShareWeight * ((answer.bad ? 1 - badShare : -badShare) - work.ownBadShare);
+    if (answer.bad || !ref.hasTimes)
+        return;
+
+    double excess = answer.logTime - ref.centre;
+    work.ownExcess += ownShareWeight * (excess - work.ownExcess);
+    double margin = std::log(m_options.policy.slowRatio) / 2;
+    bool slow = excess > margin;
+    double tail = normalTail(margin / ref.deviation);
+    double healthy = std::max(tail + stragglerAllowance, slowShareMargin * work.ownSlowShare);
+    double unhealthy = std::min(maxUnhealthyShare, 1 - tail);
+    if (work.slowness.value() < learningLimit * limit)
+        work.ownSlowShare += slowShareWeight * ((slow ? 1 : 0) - work.ownSlowShare);
+    if (unhealthy - healthy < minShareDifference)
+        return;
+    work.slowness.add(slow, healthy, unhealthy, limit);
+}
+
+void HealthMonitor::judgePending(Work& work, std::span<const HealthSummary> peers, Instant now) const
+{
+    std::optional<Reference> ref = reference(work, peers, now);
+    double limit = statisticLimit * threshold(work, 1, now);
+    while (!work.pending.empty()) {
+        Duration age = now - work.pending.front().at;
+        bool settled = age >= m_options.judgementDelay && work.pending.size() > laterAnswers;
+        if (!settled && age < maxPending)
+            return;
+        if (ref)
+            judge(work, work.pending.front(), *ref, limit);
+        else if (age < maxPending)
+            return;
+        work.pending.pop_front();
+    }
+}
+
+void HealthMonitor::dropOldWork(Instant now)
+{
+    std::erase_if(m_work, [now](const Work& work) { return now - work.lastAt > workLifetime; });
+}
+
+Verdict HealthMonitor::evaluate(std::span<const HealthSummary> peers, Instant now)
+{
+    dropOldWork(now);
+    Verdict worst = Verdict::Healthy;
+    m_severity = 0;
+    for (Work& work : m_work) {
+        judgePending(work, peers, now);
+        double value = std::max(work.failures.value(), work.slowness.value());
+        double suspect = threshold(work, m_options.suspectAlarmFactor, now);
+        if (value >= threshold(work, 1, now))
+            work.verdict = Verdict::Sick;
+        else if (value >= suspect && work.verdict == Verdict::Healthy)
+            work.verdict = Verdict::Suspect;
+        else if (value < clearLimit * suspect)
+            work.verdict = Verdict::Healthy;
+        if (work.verdict == Verdict::Healthy)
+            continue;
+        worst = std::max(worst, work.verdict);
+        m_severity = std::max({ m_severity, severityPerBadShare * work.ownBadShare, work.ownExcess });
+    }
+    return worst;
+}
+
+void HealthMonitor::reset(Instant)
+{
+    m_work.clear();
+    m_severity = 0;
+}
+
+void HealthMonitor::setCold(bool cold, Instant now)
+{
+    if (cold && !m_cold)
+        reset(now);
+    m_cold = cold;
+}
+
+WorkSummary HealthMonitor::summarise(Work& work, Instant now) const
+{
+    while (!work.window.empty()) {
+        Duration age = now - work.window.front().at;
+        if (age <= m_options.window || (age <= maxWindow && work.window.size() <= windowAnswers))
+            break;
+        work.window.pop_front();
+    }
+    WorkSummary result;
+    result.workKey = work.key;
+    result.count = static_cast<uint32_t>(work.window.size());
+    std::vector<float> recent;
+    for (const Answer& it : work.window) {
+        if (it.bad)
+            ++result.bad;
+        else
+            recent.push_back(it.logTime);
+    }
+    if (recent.empty())
+        return result;
+    // The median stands for the mean, and the quartile range for the variance: a straggler moves neither.
+    auto middle = recent.begin() + static_cast<ptrdiff_t>(recent.size() / 2);
+    std::ranges::nth_element(recent, middle);
+    result.logMean = *middle;
+    if (recent.size() % 2 == 0)
+        result.logMean = (*middle + *std::max_element(recent.begin(), middle)) / 2;
+    std::vector<float> times(work.times.begin(), work.times.end());
+    auto lower = times.begin() + static_cast<ptrdiff_t>(times.size() / 4);
+    auto upper = times.begin() + static_cast<ptrdiff_t>(times.size() * 3 / 4);
+    std::ranges::nth_element(times, lower);
+    if (upper != lower)
+        std::nth_element(lower + 1, upper, times.end());
+    double deviation = std::max(minLogDeviation, (*upper - *lower) / quartileRangeOfNormal);
+    result.logVariance = static_cast<float>(deviation * deviation);
+    return result;
+}
+
+HealthSummary HealthMonitor::summary(std::string_view upstream, Instant now)
+{
+    HealthSummary result;
+    result.upstream = upstream;
+    for (Work& work : m_work) {
+        WorkSummary item = summarise(work, now);
+        if (item.count)
+            result.work.push_back(item);
+    }
+    std::ranges::sort(result.work, std::greater {}, &WorkSummary::count);
+    if (result.work.size() > maxSummaryWork)
+        result.work.resize(maxSummaryWork);
+    return result;
+}
+
+void ConsecutiveErrorDetector::record(const Sample& sample, Instant)
+{
+    if (sample.kind == SampleKind::Shed || sample.kind == SampleKind::Cancelled)
+        return;
+    m_run = sample.kind == SampleKind::Ok ? 0 : m_run + 1;
+    m_sick = m_sick || m_run >= m_limit;
+}
+
+void ConsecutiveErrorDetector::reset(Instant)
+{
+    m_run = 0;
+    m_sick = false;
+}
+
+Verdict ConsecutiveErrorDetector::evaluate(std::span<const HealthSummary>, Instant)
+{
+    return m_sick ? Verdict::Sick : Verdict::Healthy;
+}
+
+} // namespace Gooseberrymill
