--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -40,13 +40,16 @@
 #include "core/Ejection.h" // floor-safe ejection
 #include "core/FifoAdmission.h" // baseline of AdmissionQueue
 #include "core/Health.h" // evidence and verdicts
+#include "core/HealthMonitor.h" // detection of unhealthy upstreams
 #include "core/LeastOutstandingBalancer.h" // baseline of Balancer
 #include "core/Membership.h" // failure detection and dissemination
 #include "core/ObjectStore.h" // the platform's store, as a concept
 #include "core/OperationTable.h" // at-most-once execution at one executor
+#include "core/PathMonitor.h" // path evidence of an entry
 #include "core/QueryOfDeathFilter.h" // requests that crash upstreams
 #include "core/RelayMessages.h" // messages between nodes
 #include "core/Replay.h" // replay of a trace in virtual time
 #include "core/RetryBudget.h" // bound on retries, decision on another attempt
 #include "core/RoundRobinBalancer.h" // baseline of Balancer
 #include "core/Trace.h" // traces of decision events: format and generator
+#include "core/UpstreamCondition.h" // states, probation and ramp of an upstream
--- a/src/core/BaselineDetectors.h
+++ b/src/core/BaselineDetectors.h
@@ -15,28 +15,31 @@
     void reset(Instant) { }
 };
 
+// Sick after a number of bad answers in a row, until reset.
 class ConsecutiveErrorDetector {
 public:
     explicit ConsecutiveErrorDetector(const DetectionPolicy& = {}) { }
 
     void record(const Sample& sample, Instant)
     {
-        if (sample.kind == SampleKind::Ok)
-            m_errors = 0;
-        else if (sample.kind == SampleKind::Failed || sample.kind == SampleKind::Wrong)
-            ++m_errors;
+        if (sample.kind == SampleKind::Shed || sample.kind == SampleKind::Cancelled)
+            return;
+        m_errors = sample.kind == SampleKind::Ok ? 0 : m_errors + 1;
+        m_isSick = m_isSick || m_errors >= sickErrors;
     }
-    Verdict evaluate(std::span<const HealthSummary>, Instant)
+    Verdict evaluate(std::span<const HealthSummary>, Instant) { return m_isSick ? Verdict::Sick : Verdict::Healthy; }
+    double severity() const { return m_errors; }
+    void reset(Instant)
     {
-        return m_errors >= sickErrors ? Verdict::Sick : Verdict::Healthy;
+        m_errors = 0;
+        m_isSick = false;
     }
-    double severity() const { return m_errors; }
-    void reset(Instant) { m_errors = 0; }
 
 private:
     static constexpr uint32_t sickErrors = 5;
 
-    uint32_t m_errors = 0;
+    uint32_t m_errors = 0; // in a row
+    bool m_isSick = false;
 };
 
 static_assert(Detector<NeverSickDetector>);
