--- /dev/null
+++ b/src/core/Ejection.cpp
@@ -0,0 +1,347 @@
+#include "Ejection.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr Duration maxConflictDelay = 100ms; // spreads executors that write the same roster
+
+std::vector<UpstreamView> withAge(std::span<const UpstreamView> views, Duration added)
+{
+    std::vector<UpstreamView> result(views.begin(), views.end());
+    for (UpstreamView& it : result)
+        it.age += added;
+    return result;
+}
+
+} // namespace
+
+EjectionController::EjectionController(EjectionSettings settings)
+    : m_settings(std::move(settings))
+    , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed))
+{
+}
+
+std::vector<EjectionAction> EjectionController::handle(const EjectionEvent& event, Instant now)
+{
+    m_actions.clear();
+    std::visit([&](const auto& it) { on(it, now); }, event);
+    readmitBelowFloor(now);
+    step(now);
+    return std::exchange(m_actions, {});
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Events
+//-----------------------------------------------------------------------------
+
+void EjectionController::on(const UpstreamReady&, Instant)
+{
+    if (m_state != UpstreamState::Cold)
+        return;
+    m_state = UpstreamState::Ready;
+    m_dirty = true;
+}
+
+// The process that was ejected is gone. The entry stays ejected until the new one is ready.
+void EjectionController::on(const UpstreamCold&, Instant)
+{
+    if (m_state == UpstreamState::Draining)
+        return;
+    if (m_state == UpstreamState::Ejected)
+        m_actions.emplace_back(Readmit {});
+    m_state = UpstreamState::Cold;
+    m_wantsEjection = false;
+    m_grant.reset();
+}
+
+void EjectionController::on(const UpstreamDraining&, Instant)
+{
+    if (m_state == UpstreamState::Ejected)
+        m_actions.emplace_back(Readmit {});
+    m_state = UpstreamState::Draining;
+    m_grant.reset();
+    m_dirty = true;
+}
+
+void EjectionController::on(const VerdictChanged& event, Instant)
+{
+    bool isWanted = event.wantsEjection && m_state == UpstreamState::Ready;
+    if (isWanted && !m_wantsEjection)
+        m_roster.reset(); // a proposal on an old roster would often be refused or lose the condition
+    m_wantsEjection = isWanted;
+    if (m_state != UpstreamState::Ejected) // without traffic there is no evidence for a new severity
+        m_severity = event.severity;
+}
+
+void EjectionController::on(const ProbationOver&, Instant)
+{
+    if (m_state == UpstreamState::Ejected)
+        readmit();
+}
+
+void EjectionController::on(const ViewChanged& event, Instant now)
+{
+    m_views = event.views;
+    m_viewsAt = now;
+}
+
+void EjectionController::on(const StoreReply& reply, Instant now)
+{
+    if (!m_call || m_call->number != reply.call)
+        return; // already given up
+    Call call = *std::exchange(m_call, std::nullopt);
+    if (call.isWrite)
+        finishWrite(call, reply, now);
+    else
+        finishRead(reply, now);
+}
+
+void EjectionController::on(const Tick&, Instant now)
+{
+    if (m_call && now >= m_call->deadline)
+        on(StoreReply { m_call->number, ErrorCode::Timeout, {}, 0 }, now);
+    if (m_settleAt && now >= *m_settleAt) {
+        m_settleAt.reset();
+        m_roster.reset();
+        m_dirty = true;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Store
+//-----------------------------------------------------------------------------
+
+void EjectionController::finishRead(const StoreReply& reply, Instant now)
+{
+    if (reply.error != ErrorCode::Ok && reply.error != ErrorCode::NotFound) {
+        failCall(now);
+        return;
+    }
+    m_failures = 0;
+    ServiceRoster roster = reply.roster;
+    if (reply.error == ErrorCode::NotFound)
+        roster = {};
+    roster.service = m_settings.service;
+    adopt(std::move(roster), now);
+}
+
+void EjectionController::finishWrite(const Call& call, const StoreReply& reply, Instant now)
+{
+    if (reply.error == ErrorCode::Ok) {
+        m_failures = 0;
+        ServiceRoster roster = call.roster;
+        roster.version = reply.version;
+        adopt(std::move(roster), now);
+        return;
+    }
+    m_roster.reset();
+    m_dirty = true;
+    if (reply.error == ErrorCode::Conflict) {
+        std::uniform_int_distribution<int64_t> delay(0, maxConflictDelay.count());
+        m_retryAt = now + Duration(delay(m_random));
+        return;
+    }
+    if (reply.error == ErrorCode::Unavailable)
+        m_grant.reset();
+    else
+        m_settleAt = now + m_settings.settleDelay;
+    failCall(now);
+}
+
+void EjectionController::failCall(Instant now)
+{
+    Duration delay = m_settings.firstBackoff;
+    for (uint32_t i = 0; i < m_failures && delay < m_settings.maxBackoff; ++i)
+        delay *= 2;
+    delay = std::min(delay, m_settings.maxBackoff);
+    ++m_failures;
+    std::uniform_int_distribution<int64_t> spread(delay.count() / 2, delay.count());
+    m_retryAt = now + Duration(spread(m_random));
+}
+
+// Takes over a roster that the store showed, and settles the fate of the last ejection written.
+void EjectionController::adopt(ServiceRoster roster, Instant now)
+{
+    m_roster = std::move(roster);
+    const RosterEntry* own = findEntry(*m_roster, m_settings.upstream);
+    bool isOwn = own && own->executor == m_settings.executor;
+    if (m_registered && own && !isOwn)
+        m_superseded = true;
+    m_registered = m_registered || isOwn;
+    if (m_grant) {
+        bool tookEffect = isOwn && own->state == UpstreamState::Ejected && own->attempt == m_grant->attempt;
+        if (tookEffect)
+            applyGrant(now);
+        m_grant.reset();
+    }
+    // An operator may have cleared the ejection, or a newer incarnation serves the upstream.
+    bool isRecorded = isOwn && own->state == UpstreamState::Ejected;
+    if (m_state == UpstreamState::Ejected && !isRecorded)
+        readmit();
+    m_dirty = !showsDesiredState();
+}
+
+// The write took effect. A pause since it was sent, or a change of the view, withdraws the ejection; the
+// roster is corrected by the next write.
+void EjectionController::applyGrant(Instant now)
+{
+    bool inTime = now - m_grant->sentAt <= m_settings.grantValidity;
+    bool isWanted = m_state == UpstreamState::Ready && m_wantsEjection;
+    if (!inTime || !isWanted)
+        return;
+    uint32_t others = eligibleSlots(*m_roster, agedViews(now), m_settings.upstream, m_settings.maxConfirmationAge);
+    if (others < m_settings.floorSlots)
+        return;
+    m_state = UpstreamState::Ejected;
+    m_wantsEjection = false;
+    m_belowFloorSince.reset();
+    m_actions.emplace_back(ApplyEjection {});
+}
+
+bool EjectionController::showsDesiredState() const
+{
+    if (!m_roster)
+        return false;
+    const RosterEntry* own = findEntry(*m_roster, m_settings.upstream);
+    if (m_state == UpstreamState::Cold)
+        return true;
+    return own && own->executor == m_settings.executor && own->state == m_state
+        && (m_state == UpstreamState::Ejected || own->slots == m_settings.slots);
+}
+
+void EjectionController::read(Instant now)
+{
+    m_call = Call { ++m_calls, false, {}, now + m_settings.callTimeout };
+    m_actions.emplace_back(ReadRoster { m_calls });
+}
+
+void EjectionController::write(ServiceRoster roster, Instant now)
+{
+    uint64_t version = roster.version;
+    m_call = Call { ++m_calls, true, roster, now + m_settings.callTimeout };
+    m_actions.emplace_back(WriteRoster { m_calls, std::move(roster), version });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Decisions
+//-----------------------------------------------------------------------------
+
+std::vector<UpstreamView> EjectionController::agedViews(Instant now) const { return withAge(m_views, now - m_viewsAt); }
+
+void EjectionController::readmit()
+{
+    m_state = UpstreamState::Ready;
+    m_wantsEjection = false;
+    m_dirty = true;
+    m_actions.emplace_back(Readmit {});
+}
+
+void EjectionController::readmitBelowFloor(Instant now)
+{
+    if (m_state != UpstreamState::Ejected)
+        return;
+    std::vector<UpstreamView> views = agedViews(now);
+    uint32_t serving = servingSlots(views, m_settings.upstream, m_settings.maxConfirmationAge);
+    if (serving >= m_settings.floorSlots) {
+        m_belowFloorSince.reset();
+        return;
+    }
+    if (!m_belowFloorSince)
+        m_belowFloorSince = now;
+    uint32_t returning = 0;
+    int64_t rank = 0;
+    for (const UpstreamView& it : views) {
+        bool isBefore = std::tie(it.severity, it.upstream) < std::tie(m_severity, m_settings.upstream);
+        bool isEjected = it.state == UpstreamState::Ejected && it.age <= m_settings.maxConfirmationAge;
+        if (!isEjected || !isBefore || it.upstream == m_settings.upstream)
+            continue;
+        returning += it.slots;
+        ++rank;
+    }
+    bool isNext = serving + returning < m_settings.floorSlots;
+    if (isNext || now - *m_belowFloorSince >= rank * m_settings.readmitPatience)
+        readmit();
+}
+
+void EjectionController::step(Instant now)
+{
+    bool wantsEjection = m_state == UpstreamState::Ready && m_wantsEjection;
+    bool hasWork = m_dirty || wantsEjection;
+    if (m_call || m_superseded || !hasWork || now < m_retryAt)
+        return;
+    if (!m_roster) {
+        read(now);
+        return;
+    }
+    if (!showsDesiredState()) {
+        // An entry of this incarnation keeps its attempt number, so that a late read cannot match an old grant.
+        if (m_state == UpstreamState::Draining && !m_registered) {
+            m_dirty = false;
+            return;
+        }
+        RosterEntry entry { m_settings.upstream, m_settings.executor, m_settings.slots, m_state, 0, m_attempts };
+        write(registerUpstream(*m_roster, std::move(entry)), now);
+        return;
+    }
+    m_dirty = false;
+    if (wantsEjection)
+        propose(now);
+}
+
+void EjectionController::propose(Instant now)
+{
+    EjectionRequest request { m_settings.upstream, m_settings.executor, m_severity, m_attempts + 1 };
+    std::optional<ServiceRoster> proposal
+        = proposeEjection(*m_roster, m_settings.floorSlots, agedViews(now), request, m_settings.maxConfirmationAge);
+    if (!proposal) {
+        m_roster.reset(); // another executor may change it
+        m_retryAt = now + m_settings.refusalDelay;
+        return;
+    }
+    ++m_attempts;
+    m_grant = Grant { m_attempts, now };
+    write(std::move(*proposal), now);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Baseline
+//-----------------------------------------------------------------------------
+
+std::vector<EjectionAction> NaiveEjectionController::handle(const EjectionEvent& event, Instant now)
+{
+    if (const auto* verdict = std::get_if<VerdictChanged>(&event))
+        m_wantsEjection = verdict->wantsEjection;
+    if (const auto* view = std::get_if<ViewChanged>(&event)) {
+        m_views = view->views;
+        m_viewsAt = now;
+    }
+    bool wasEjected = isEjected();
+    if (std::holds_alternative<UpstreamReady>(event) && m_state == UpstreamState::Cold)
+        m_state = UpstreamState::Ready;
+    if (std::holds_alternative<UpstreamCold>(event))
+        m_state = UpstreamState::Cold;
+    if (std::holds_alternative<UpstreamDraining>(event))
+        m_state = UpstreamState::Draining;
+    if (std::holds_alternative<ProbationOver>(event) && wasEjected)
+        m_state = UpstreamState::Ready;
+
+    std::vector<UpstreamView> views = withAge(m_views, now - m_viewsAt);
+    uint32_t others = servingSlots(views, m_settings.upstream, m_settings.maxConfirmationAge);
+    if (m_state == UpstreamState::Ready && m_wantsEjection && others >= m_settings.floorSlots) {
+        m_state = UpstreamState::Ejected;
+        m_wantsEjection = false;
+    } else if (m_state == UpstreamState::Ejected && others < m_settings.floorSlots) {
+        m_state = UpstreamState::Ready;
+    }
+    if (isEjected() == wasEjected)
+        return {};
+    if (isEjected())
+        return { ApplyEjection {} };
+    return { Readmit {} };
+}
+
+} // namespace Gooseberrymill
