--- /dev/null
+++ b/src/node/AdminServer.cpp
@@ -0,0 +1,220 @@
+#include "AdminServer.h"
+
+#include "TomlSections.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr uint64_t maxAnnouncedSlots = 10'000;
+constexpr double maxAnnouncedLoad = 1e6;
+constexpr size_t maxReasonBytes = 300;
+
+Error invalid(std::string detail) { return { ErrorCode::Invalid, "admin.parse", "", std::move(detail) }; }
+
+std::optional<std::string> textOf(const nlohmann::json& json, const char* name)
+{
+    auto it = json.find(name);
+    if (it == json.end() || !it->is_string())
+        return std::nullopt;
+    return it->get<std::string>();
+}
+
+std::optional<UpstreamState> parseAnnouncedState(std::string_view text)
+{
+    // The other states are verdicts of the fleet, which an upstream cannot declare.
+    constexpr std::array<UpstreamState, 4> states { UpstreamState::Cold, UpstreamState::Ready, UpstreamState::Draining,
+        UpstreamState::Gone };
+    const auto* it = std::find_if(states.begin(), states.end(), [&](UpstreamState s) { return toString(s) == text; });
+    return it == states.end() ? std::nullopt : std::optional(*it);
+}
+
+void answer(SoupServerMessage* message, guint status, const char* type, std::string_view body)
+{
+    soup_server_message_set_status(message, status, nullptr);
+    soup_server_message_set_response(message, type, SOUP_MEMORY_COPY, body.data(), body.size());
+}
+
+void answerJson(SoupServerMessage* message, guint status, const nlohmann::json& json)
+{
+    answer(message, status, "application/json",
+        json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
+}
+
+guint statusOf(const Error& error)
+{
+    if (error.code == makeErrorCode(ErrorCode::NotFound))
+        return SOUP_STATUS_NOT_FOUND;
+    if (error.code == makeErrorCode(ErrorCode::Conflict))
+        return SOUP_STATUS_CONFLICT;
+    if (error.code == makeErrorCode(ErrorCode::Unavailable))
+        return SOUP_STATUS_SERVICE_UNAVAILABLE;
+    return SOUP_STATUS_BAD_REQUEST;
+}
+
+void answerResult(SoupServerMessage* message, const Result<void>& result)
+{
+    if (result)
+        answerJson(message, SOUP_STATUS_OK, nlohmann::json::object());
+    else
+        answerJson(message, statusOf(result.error()), { { "error", toString(result.error()) } });
+}
+
+void answerError(SoupServerMessage* message, guint status, std::string_view text)
+{
+    answerJson(message, status, { { "error", text } });
+}
+
+} // namespace
+
+Result<Announcement> parseAnnouncement(std::string_view text)
+{
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return invalid("not a JSON object");
+    Announcement announcement;
+    for (const auto& [key, target] :
+        { std::pair("name", &announcement.name), std::pair("service", &announcement.service) }) {
+        auto value = textOf(json, key);
+        if (!value || !isName(*value))
+            return invalid(fmt::format("\"{}\" must be {}", key, nameRule.allowed));
+        *target = std::move(*value);
+    }
+    auto address = textOf(json, "address");
+    if (!address || !isAddress(*address))
+        return invalid("\"address\" must be \"ip:port\"");
+    announcement.address = std::move(*address);
+    auto slots = json.find("slots");
+    if (slots == json.end() || !slots->is_number_unsigned() || slots->get<uint64_t>() < 1
+        || slots->get<uint64_t>() > maxAnnouncedSlots)
+        return invalid(fmt::format("\"slots\" must be an integer from 1 to {}", maxAnnouncedSlots));
+    announcement.slots = slots->get<uint32_t>();
+    auto state = parseAnnouncedState(textOf(json, "state").value_or(""));
+    if (!state)
+        return invalid("\"state\" must be cold, ready, draining or gone");
+    announcement.state = *state;
+    auto load = json.find("load");
+    if (load == json.end() || !load->is_number() || !(load->get<double>() >= 0)
+        || load->get<double>() > maxAnnouncedLoad)
+        return invalid(fmt::format("\"load\" must be a number from 0 to {}", maxAnnouncedLoad));
+    announcement.load = load->get<double>();
+    return announcement;
+}
+
+AdminServer::AdminServer(AdminCallbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+    , m_server(soup_server_new(nullptr, nullptr))
+{
+    soup_server_add_early_handler(m_server.get(), nullptr, &AdminServer::handleHead, this, nullptr);
+    soup_server_add_handler(m_server.get(), nullptr, &AdminServer::handle, this, nullptr);
+}
+
+AdminServer::~AdminServer() { soup_server_disconnect(m_server.get()); }
+
+Result<uint16_t> AdminServer::listen(const ListenAddress& address)
+{
+    std::string peer = fmt::format("{}:{}", address.host, address.port);
+    ObjectHandle<GSocketAddress> bound(g_inet_socket_address_new_from_string(address.host.c_str(), address.port));
+    if (!bound)
+        return Error { ErrorCode::Invalid, "admin.listen", peer, "not an IP address" };
+    GError* error = nullptr;
+    if (!soup_server_listen(m_server.get(), bound.get(), static_cast<SoupServerListenOptions>(0), &error)) {
+        ErrorHandle owned(error);
+        return Error { ErrorCode::Unavailable, "admin.listen", peer, owned->message };
+    }
+    GSList* uris = soup_server_get_uris(m_server.get());
+    auto port = static_cast<uint16_t>(g_uri_get_port(static_cast<GUri*>(uris->data)));
+    g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(&g_uri_unref));
+    return port;
+}
+
+// A body above the bound is refused by its declared length, or its connection is cut while it arrives.
+void AdminServer::handleHead(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer)
+{
+    SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+    bool hasLength = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
+    if (hasLength && soup_message_headers_get_content_length(headers) > static_cast<goffset>(maxBodyBytes)) {
+        soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
+        answerError(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, fmt::format("at most {} bytes", maxBodyBytes));
+        return;
+    }
+    g_signal_connect(message, "got-chunk", G_CALLBACK(&AdminServer::handleChunk), nullptr);
+}
+
+void AdminServer::handleChunk(SoupServerMessage* message, GBytes*, gpointer)
+{
+    if (soup_server_message_get_request_body(message)->length > static_cast<goffset>(maxBodyBytes))
+        g_socket_shutdown(soup_server_message_get_socket(message), TRUE, TRUE, nullptr);
+}
+
+void AdminServer::handle(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
+{
+    auto* server = static_cast<AdminServer*>(self);
+    std::string_view method = soup_server_message_get_method(message);
+    if (method == "GET" || method == "HEAD") {
+        server->serveGet(message, path);
+    } else if (method == "POST") {
+        BytesHandle bytes(soup_message_body_flatten(soup_server_message_get_request_body(message)));
+        gsize size = 0;
+        const auto* data = static_cast<const char*>(g_bytes_get_data(bytes.get(), &size));
+        server->servePost(message, path, std::string_view(data ? data : "", size));
+    } else {
+        answerError(message, SOUP_STATUS_METHOD_NOT_ALLOWED, "GET or POST");
+    }
+}
+
+void AdminServer::serveGet(SoupServerMessage* message, std::string_view path) const
+{
+    if (path == "/healthz") {
+        bool isHealthy = m_callbacks.isHealthy();
+        answer(message, isHealthy ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain",
+            isHealthy ? "ok\n" : "not ready\n");
+    } else if (path == "/metrics") {
+        answer(message, SOUP_STATUS_OK, "text/plain; version=0.0.4", m_callbacks.metrics());
+    } else if (path == "/status") {
+        answer(message, SOUP_STATUS_OK, "application/json", m_callbacks.status());
+    } else if (path == "/operations") {
+        answer(message, SOUP_STATUS_OK, "application/json", m_callbacks.operations());
+    } else {
+        answerError(message, SOUP_STATUS_NOT_FOUND, "no such page");
+    }
+}
+
+void AdminServer::servePost(SoupServerMessage* message, std::string_view path, std::string_view body) const
+{
+    constexpr std::string_view operationPrefix = "/operations/";
+    constexpr std::string_view resolveSuffix = "/resolve";
+    if (path == "/announce") {
+        auto announcement = parseAnnouncement(body);
+        if (announcement)
+            answerResult(message, m_callbacks.announce(announcement.value()));
+        else
+            answerResult(message, announcement.error());
+    } else if (path.starts_with(operationPrefix) && path.ends_with(resolveSuffix)
+        && path.size() > operationPrefix.size() + resolveSuffix.size()) {
+        path.remove_prefix(operationPrefix.size());
+        path.remove_suffix(resolveSuffix.size());
+        serveResolve(message, path, body);
+    } else {
+        answerError(message, SOUP_STATUS_NOT_FOUND, "no such page");
+    }
+}
+
+void AdminServer::serveResolve(SoupServerMessage* message, std::string_view operation, std::string_view body) const
+{
+    auto json = nlohmann::json::parse(body, nullptr, false);
+    auto actor = json.is_object() ? textOf(json, "actor") : std::nullopt;
+    auto reason = json.is_object() ? textOf(json, "reason") : std::nullopt;
+    if (!actor || !isName(*actor) || !reason || reason->empty() || reason->size() > maxReasonBytes) {
+        answerResult(message,
+            invalid(fmt::format(
+                "\"actor\" must be {} and \"reason\" a text of 1 to {} characters", nameRule.allowed, maxReasonBytes)));
+        return;
+    }
+    answerResult(message, m_callbacks.resolve({ std::string(operation), std::move(*actor), std::move(*reason) }));
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/tests/AdminServerTests.cpp
@@ -0,0 +1,199 @@
+#define BOOST_TEST_MODULE AdminServer
+#include "AdminServer.h"
+
+#include "Task.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <future>
+#include <rapidcheck/boost_test.h>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+const std::string goodAnnouncement
+    = R"({"name": "sello-01", "service": "sello", "address": "127.0.0.1:9000", "slots": 4, "state": "ready", "load": 2})";
+
+// A server on a task of its own, with callbacks that record what they were asked.
+struct AdminFixture {
+    AdminFixture()
+    {
+        task.start();
+        run([this] {
+            server = std::make_unique<AdminServer>(makeCallbacks());
+            auto bound = server->listen({ "127.0.0.1", 0 });
+            port = bound ? bound.value() : 0;
+        });
+        BOOST_REQUIRE(port);
+    }
+    ~AdminFixture()
+    {
+        run([this] { server.reset(); });
+    }
+
+    AdminCallbacks makeCallbacks()
+    {
+        return { .isHealthy = [this] { return isHealthy.load(); },
+            .metrics = [] { return std::string("a_total 1\n"); },
+            .status = [] { return std::string(R"({"node": "n1"})"); },
+            .announce = [this](const Announcement& announcement) -> Result<void> {
+                announcements.push_back(announcement);
+                return boost::outcome_v2::success();
+            },
+            .operations = [] { return std::string(R"([{"id": "7"}])"); },
+            .resolve = [this](const Resolution& resolution) -> Result<void> {
+                resolutions.push_back(resolution);
+                if (resolution.operation == "7")
+                    return boost::outcome_v2::success();
+                return Error { ErrorCode::NotFound, "operations.resolve", "", "" };
+            } };
+    }
+
+    void run(const std::function<void()>& function)
+    {
+        std::promise<void> done;
+        task.post([&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    struct Reply {
+        guint status = 0; // 0: the connection ended without an answer
+        std::string body;
+    };
+
+    Reply ask(const char* method, const std::string& path, const std::string& body = "", bool isChunked = false) const
+    {
+        ObjectHandle<SoupSession> session(soup_session_new());
+        ObjectHandle<SoupMessage> message(
+            soup_message_new(method, fmt::format("http://127.0.0.1:{}{}", port, path).c_str()));
+        if (isChunked) {
+            ObjectHandle<GInputStream> stream(g_memory_input_stream_new_from_data(
+                g_memdup2(body.data(), body.size()), static_cast<gssize>(body.size()), &g_free));
+            soup_message_set_request_body(message.get(), "application/json", stream.get(), -1);
+        } else if (!body.empty()) {
+            BytesHandle bytes(g_bytes_new(body.data(), body.size()));
+            soup_message_set_request_body_from_bytes(message.get(), "application/json", bytes.get());
+        }
+        BytesHandle answer(soup_session_send_and_read(session.get(), message.get(), nullptr, nullptr));
+        if (!answer)
+            return {};
+        gsize size = 0;
+        const auto* data = static_cast<const char*>(g_bytes_get_data(answer.get(), &size));
+        return { static_cast<guint>(soup_message_get_status(message.get())), std::string(data ? data : "", size) };
+    }
+
+    Task task { "admin", Task::Thread::New };
+    std::unique_ptr<AdminServer> server;
+    uint16_t port = 0;
+    std::atomic<bool> isHealthy { true };
+    std::vector<Announcement> announcements; // written on the task, read after the answer arrived
+    std::vector<Resolution> resolutions;
+};
+
+std::string replaced(std::string text, std::string_view from, std::string_view to)
+{
+    size_t at = text.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+// Guards against an upstream that enters the fleet with values nobody has checked.
+BOOST_AUTO_TEST_CASE(announcementsAreValidated)
+{
+    auto good = parseAnnouncement(goodAnnouncement);
+    BOOST_REQUIRE(good);
+    Announcement expected { "sello-01", "sello", "127.0.0.1:9000", 4, UpstreamState::Ready, 2 };
+    BOOST_TEST((good.value() == expected));
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>> { { "\"sello-01\"", "\"\"" },
+             { "\"sello-01\"", "7" }, { "\"service\"", "\"services\"" }, { "127.0.0.1:9000", "sello.example:9000" },
+             { "127.0.0.1:9000", "127.0.0.1:0" }, { "\"slots\": 4", "\"slots\": 0" },
+             { "\"slots\": 4", "\"slots\": -4" }, { "\"slots\": 4", "\"slots\": 4294967297" },
+             { "\"ready\"", "\"ejected\"" }, { "\"ready\"", "\"degraded\"" }, { "\"ready\"", "null" },
+             { "\"load\": 2", "\"load\": -1" }, { "\"load\": 2", "\"load\": 1e300" },
+             { "\"load\": 2", "\"load\": \"2\"" }, { "{", "[" } })
+        BOOST_TEST_CONTEXT(to) { BOOST_TEST(!parseAnnouncement(replaced(goodAnnouncement, from, to))); }
+}
+
+// Guards against bytes from the network that end the process.
+RC_BOOST_PROP(damagedAnnouncementsAreRefusedOrValid, (const std::string& junk))
+{
+    std::string text = goodAnnouncement;
+    text.insert(*rc::gen::inRange<size_t>(0, text.size()), junk);
+    auto parsed = parseAnnouncement(text);
+    RC_ASSERT(!parsed || parsed.value().slots >= 1);
+}
+
+BOOST_FIXTURE_TEST_SUITE(server, AdminFixture)
+
+// Guards against a page that is missing or answers with another's content.
+BOOST_AUTO_TEST_CASE(servesPages)
+{
+    BOOST_TEST(ask("GET", "/healthz").status == 200U);
+    isHealthy = false;
+    BOOST_TEST(ask("GET", "/healthz").status == 503U);
+    BOOST_TEST(ask("GET", "/metrics").body == "a_total 1\n");
+    BOOST_TEST(ask("GET", "/status").body == R"({"node": "n1"})");
+    BOOST_TEST(ask("GET", "/operations").body == R"([{"id": "7"}])");
+    BOOST_TEST(ask("GET", "/nothing").status == 404U);
+    BOOST_TEST(ask("GET", "/announce").status == 404U);
+    BOOST_TEST(ask("DELETE", "/status").status == 405U);
+    BOOST_TEST(ask("POST", "/nothing", "{}").status == 404U);
+}
+
+// Guards against an announcement that is lost, or a wrong one that is passed on.
+BOOST_AUTO_TEST_CASE(takesAnnouncements)
+{
+    BOOST_TEST(ask("POST", "/announce", goodAnnouncement).status == 200U);
+    Reply bad = ask("POST", "/announce", replaced(goodAnnouncement, "4", "0"));
+    BOOST_TEST(bad.status == 400U);
+    BOOST_TEST(bad.body.find("slots") != std::string::npos);
+    BOOST_TEST(announcements.size() == 1U);
+}
+
+// Guards against memory use without a bound, with a declared length and without.
+BOOST_AUTO_TEST_CASE(bodiesAreBounded)
+{
+    std::string fits = goodAnnouncement + std::string(AdminServer::maxBodyBytes - goodAnnouncement.size(), ' ');
+    BOOST_TEST(ask("POST", "/announce", fits).status == 200U);
+    BOOST_TEST(ask("POST", "/announce", fits, true).status == 200U);
+    std::string large = fits + " ";
+    BOOST_TEST(ask("POST", "/announce", large).status == 413U);
+    BOOST_TEST(ask("POST", "/announce", large, true).status != 200U);
+    BOOST_TEST(announcements.size() == 2U);
+}
+
+// Guards against an operation resolved without a name or a reason for the audit trail.
+BOOST_AUTO_TEST_CASE(resolvesOperations)
+{
+    std::string body = R"({"actor": "ana", "reason": "paid by hand"})";
+    BOOST_TEST(ask("POST", "/operations/7/resolve", body).status == 200U);
+    BOOST_REQUIRE(resolutions.size() == 1);
+    BOOST_TEST(resolutions[0].operation == "7");
+    BOOST_TEST(resolutions[0].actor == "ana");
+    BOOST_TEST(resolutions[0].reason == "paid by hand");
+    BOOST_TEST(ask("POST", "/operations/8/resolve", body).status == 404U);
+    for (std::string_view wrong : { "", "[]", R"({"actor": "ana"})", R"({"actor": "", "reason": "x"})",
+             R"({"actor": "ana", "reason": ""})", R"({"actor": "ana", "reason": 7})" })
+        BOOST_TEST(ask("POST", "/operations/7/resolve", std::string(wrong)).status == 400U, wrong);
+    BOOST_TEST(resolutions.size() == 2U);
+}
+
+// Guards against a node that runs without its admin page because the port is taken.
+BOOST_AUTO_TEST_CASE(takenPortIsError)
+{
+    run([this] {
+        AdminServer other(makeCallbacks());
+        auto bound = other.listen({ "127.0.0.1", port });
+        BOOST_REQUIRE(!bound);
+        BOOST_TEST(bound.error().step == "admin.listen");
+        BOOST_TEST(!other.listen({ "nowhere", 1 }));
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
