--- a/tests/CommandLineProcessTests.cpp
+++ b/tests/CommandLineProcessTests.cpp
@@ -1,11 +1,14 @@
 #define BOOST_TEST_MODULE CommandLineProcess
+#include "AdminServer.h"
 #include "AuditTrail.h"
 #include "Processes.h"
+#include "Task.h"
 
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
+#include <future>
 #include <libsoup/soup.h>
 
 using namespace Gooseberrymill;
@@ -271,6 +274,31 @@
     checkExit(run({ "audit", "--store", urlOf(store) }), 1);
 }
 
+// Guards against a status page that the verb does not show.
+BOOST_AUTO_TEST_CASE(statusPrintsPage)
+{
+    Task task("admin", Task::Thread::New);
+    task.start();
+    std::unique_ptr<AdminServer> server;
+    std::promise<uint16_t> port;
+    task.post([&] {
+        AdminCallbacks callbacks;
+        callbacks.status = [] { return std::string(R"({"node": "n1"})"); };
+        server = std::make_unique<AdminServer>(std::move(callbacks));
+        auto bound = server->listen({ "127.0.0.1", 0 });
+        port.set_value(bound ? bound.value() : 0);
+    });
+    Command status = run({ "status", "--admin", fmt::format("http://127.0.0.1:{}", port.get_future().get()) });
+    checkExit(status, 0);
+    BOOST_TEST(status.output == "{\"node\": \"n1\"}\n");
+    std::promise<void> closed;
+    task.post([&] {
+        server.reset();
+        closed.set_value();
+    });
+    closed.get_future().wait();
+}
+
 // Guards against silence about a node that does not answer.
 BOOST_AUTO_TEST_CASE(statusOfAbsentNodeFails)
 {
