Add the control plane: membership, configuration, ejection, audit and admin in one process

Cause: the parts of the control plane were not connected, so 'serve' ran nothing.

Result: builds; no process run yet.

--- a/src/core/Ejection.h
+++ b/src/core/Ejection.h
@@ -164,6 +164,7 @@
 
     std::vector<EjectionAction> handle(const EjectionEvent&, Instant now);
     bool isEjected() const { return m_state == UpstreamState::Ejected; }
+    void setFloorSlots(uint32_t floorSlots) { m_settings.floorSlots = floorSlots; } // a new configuration is in force
     bool isSuperseded() const { return m_superseded; } // a newer incarnation registered the upstream
 
 private:
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -304,6 +304,13 @@
     m_nextSpreadAt = std::min(m_nextSpreadAt, now + m_settings.gossipPeriod);
 }
 
+void Membership::addSeed(const std::string& gossipAddress)
+{
+    auto& seeds = m_settings.seeds;
+    if (std::find(seeds.begin(), seeds.end(), gossipAddress) == seeds.end())
+        seeds.push_back(gossipAddress);
+}
+
 void Membership::leave(Instant now)
 {
     if (m_self->record.status == NodeStatus::Left)
--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -190,6 +190,7 @@
     void received(const GossipMessage&, std::string_view from, Instant now);
     void setUpstream(const UpstreamRecord&, Instant now); // adds or changes one of this node's upstreams
     void leave(Instant now);
+    void addSeed(const std::string& gossipAddress); // one more address to join through
     void setConfigurationDigest(uint64_t digest) { m_configurationDigest = digest; }
     void sendHealth(const HealthSummary&, Instant now); // to the members that run the same service
 
--- /dev/null
+++ b/src/node/ControlPlane.cpp
@@ -0,0 +1,520 @@
+#include "ControlPlane.h"
+
+#include "core/RetryBudget.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Gooseberrymill {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::string_view seedsKind = "nodes"; // one object per data centre with a few gossip addresses
+constexpr size_t seedsPerDataCentre = 5;
+constexpr Duration seedsPeriod = 30s; // between two looks at the published seeds
+constexpr Duration tickPeriod = 50ms; // of membership and configuration
+constexpr Duration samplePeriod = 100ms; // health samples go to the control task in batches
+constexpr Duration peerHealthAge = 5s; // older summaries of peers say nothing about now
+constexpr size_t peersAskedPerDataCentre = 2; // for the configuration after a start
+
+std::span<const uint8_t> bytesOf(const std::string& text)
+{
+    return { reinterpret_cast<const uint8_t*>(text.data()), text.size() };
+}
+
+std::string objectName(const std::string& dataCentre) { return dataCentre.empty() ? "default" : dataCentre; }
+
+Json toJson(const NodeRecord& record)
+{
+    Json upstreams = Json::array();
+    for (const UpstreamRecord& it : record.upstreams) {
+        upstreams.push_back({ { "name", it.name }, { "service", it.service }, { "slots", it.slots },
+            { "state", toString(it.state) }, { "severity", it.severity }, { "share", it.share } });
+    }
+    return { { "name", record.name }, { "incarnation", toString(record.incarnation) },
+        { "status", toString(record.status) }, { "region", record.location.region },
+        { "dataCentre", record.location.dataCentre }, { "relay", record.relayAddress }, { "upstreams", upstreams } };
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Construction
+//-----------------------------------------------------------------------------
+
+ControlPlane::ControlPlane(Task& task, Settings settings)
+    : m_task(task)
+    , m_settings(std::move(settings))
+    , m_random(randomId().low)
+    , m_incarnation(randomId())
+    , m_services(std::make_shared<ExecutorServices>())
+{
+}
+
+ControlPlane::~ControlPlane()
+{
+    m_timer.reset();
+    m_admin.reset();
+    m_node.reset();
+}
+
+std::optional<Error> ControlPlane::start()
+{
+    if (!m_settings.storeUrl.empty()) {
+        m_store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout);
+        auto firstBatch = static_cast<uint64_t>(currentWallTime().time_since_epoch().count());
+        m_audit = std::make_unique<AuditTrail<StoreClient>>(*m_store, m_settings.nodeName, firstBatch);
+    }
+    RelayIdentity identity { m_settings.fleetKey, m_settings.nodeName, m_incarnation };
+    m_relay = std::make_unique<RelayClient>(m_task.context(), identity, m_settings.connectTimeout);
+    m_node = std::make_unique<Node>(m_settings, executorHooks(), [this] { return entryHooks(); }, m_incarnation);
+    if (auto error = m_node->start())
+        return error;
+    if (auto error = startGossip())
+        return error;
+    m_configuration = std::make_unique<ConfigurationDriver<StoreClient>>(
+        m_store.get(), *m_relay, m_random(), configurationHooks(), currentInstant());
+    m_configuration->start({ });
+    if (auto error = startAdmin())
+        return error;
+    joinThroughStore();
+    m_timer = m_task.every(tickPeriod, [this] {
+        tick();
+        return true;
+    });
+    audit(AuditEventKind::NodeStarted, "", m_settings.nodeName, "incarnation " + toString(m_incarnation));
+    return std::nullopt;
+}
+
+std::optional<Error> ControlPlane::startGossip()
+{
+    auto socket = GossipSocket::open(m_task, m_settings.gossipListen, m_settings.gossipAdvertise,
+        bytesOf(m_settings.fleetKey), [this](const GossipMessage& message, std::string_view from) {
+            m_membership->received(message, from, currentInstant());
+            onMembershipChanges();
+            sendGossip();
+        });
+    if (!socket)
+        return socket.error();
+    m_gossip = std::move(socket.value());
+    NodeRecord self;
+    self.name = m_settings.nodeName;
+    self.incarnation = m_incarnation;
+    self.startedAt = static_cast<uint64_t>(currentWallTime().time_since_epoch().count());
+    self.gossipAddress = m_gossip->advertisedAddress();
+    self.relayAddress = m_node->relayAddress();
+    self.location = m_settings.location;
+    MembershipSettings settings;
+    settings.seeds = m_settings.seeds;
+    m_membership = std::make_unique<Membership>(settings, std::move(self), m_random(), currentInstant());
+    return std::nullopt;
+}
+
+std::optional<Error> ControlPlane::startAdmin()
+{
+    m_admin = std::make_unique<AdminServer>(adminCallbacks());
+    auto port = m_admin->listen(m_settings.adminListen);
+    if (!port)
+        return port.error();
+    m_adminPort = port.value();
+    log(LogLevel::Info, "node.started",
+        { { "node", m_settings.nodeName }, { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() },
+            { "gossip", m_gossip->advertisedAddress() }, { "admin", m_adminPort } });
+    return std::nullopt;
+}
+
+ExecutorHooks ControlPlane::executorHooks()
+{
+    ExecutorHooks hooks;
+    hooks.started = [this](Task& task) { startExecutorServices(task); };
+    hooks.stopped = [services = m_services] {
+        services->timer.reset();
+        services->operations.reset();
+        services->store.reset();
+    };
+    // The service exists from `started` to `stopped`, in which all of these calls fall.
+    OperationGate& gate = hooks.operations;
+    gate.begin = [services = m_services](const RequestHead& head, std::string_view body, auto decide) {
+        services->operations->begin(head, body, std::move(decide));
+    };
+    gate.settle = [services = m_services](const RequestHead& head, std::shared_ptr<const StoredResponse> response, bool delivered) {
+        services->operations->settle(head, response, delivered);
+    };
+    gate.finish = [services = m_services](const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
+    hooks.token = [services = m_services](TokenQuery&& query, std::function<void(TokenReply)> reply) {
+        reply(services->operations->issueToken(query));
+    };
+    hooks.sample = [services = m_services](const std::string& upstream, const Sample& sample, Instant now) {
+        services->samples.push_back({ upstream, sample, now });
+    };
+    hooks.configuration = [this](ConfigurationQuery&& query, std::function<void(ConfigurationReply)> reply) {
+        m_task.post([this, query = std::move(query), reply = std::move(reply)] {
+            ConfigurationReply answer = m_configuration ? m_configuration->answer(query) : ConfigurationReply { };
+            m_node->postExecutor([answer = std::move(answer), reply] { reply(answer); });
+        });
+    };
+    return hooks;
+}
+
+void ControlPlane::startExecutorServices(Task& task)
+{
+    if (!m_settings.storeUrl.empty())
+        m_services->store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout);
+    m_services->operations = std::make_unique<OperationService<StoreClient>>(m_incarnation, OperationLimits { }, m_services->store.get());
+    m_services->timer = task.every(samplePeriod, [this] {
+        m_services->operations->tick();
+        flushSamples();
+        return true;
+    });
+}
+
+void ControlPlane::flushSamples()
+{
+    auto unresolved = m_services->operations->unresolved();
+    auto samples = std::exchange(m_services->samples, { });
+    m_task.post([this, samples = std::move(samples), unresolved = std::move(unresolved)] {
+        onSamples(samples);
+        m_unresolved = unresolved;
+    });
+}
+
+// Retry budgets are per entry worker, so that no state is shared; the shares add up to the fleet's bound.
+EntryHooks ControlPlane::entryHooks()
+{
+    auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
+    auto budgetOf = [budgets](const std::string& service) -> RetryBudget& {
+        return budgets->try_emplace(service, RetryPolicy { }.budgetShare).first->second;
+    };
+    EntryHooks hooks;
+    hooks.offered = [budgetOf](const std::string& service) { budgetOf(service).offered(currentInstant()); };
+    hooks.allowRetry = [budgetOf](const std::string& service) { return budgetOf(service).take(currentInstant()); };
+    hooks.configurationDigest = [this] { return m_digest.load(std::memory_order_relaxed); };
+    return hooks;
+}
+
+ConfigurationHooks ControlPlane::configurationHooks()
+{
+    ConfigurationHooks hooks;
+    hooks.inForce = [this](std::shared_ptr<const RouteTable> routes) { onRoutes(routes); };
+    hooks.digestChanged = [this](uint64_t digest) {
+        m_digest = digest;
+        m_membership->setConfigurationDigest(digest);
+    };
+    hooks.relayAddress = [this](std::string_view node) {
+        const NodeRecord* record = m_membership->find(node);
+        return record ? record->relayAddress : std::string();
+    };
+    hooks.accepted = [this](const ConfigurationRecord& record) {
+        audit(AuditEventKind::ConfigurationInForce, "", record.name,
+            fmt::format("version {}, change id {}", record.version, record.changeId), record.author);
+    };
+    hooks.refused = [this](const ConfigurationRecord& record, const std::string& reason) {
+        audit(AuditEventKind::ConfigurationRefused, "", record.name, fmt::format("version {}: {}", record.version, reason),
+            record.author);
+    };
+    return hooks;
+}
+
+SupervisorHooks ControlPlane::supervisorHooks(const std::string& upstream)
+{
+    SupervisorHooks hooks;
+    hooks.setEndpoint = [this](const UpstreamEndpoint& endpoint) { m_node->setUpstream(endpoint); };
+    hooks.publish = [this](const UpstreamRecord& record) {
+        m_membership->setUpstream(record, currentInstant());
+        m_candidatesChanged = true;
+    };
+    hooks.views = [this](std::string_view service) { return makeUpstreamViews(*m_membership, service, currentInstant()); };
+    hooks.peerHealth = [this](std::string_view service) { return m_membership->peerHealth(service, peerHealthAge, currentInstant()); };
+    hooks.sendHealth = [this](const HealthSummary& summary) { m_membership->sendHealth(summary, currentInstant()); };
+    hooks.changed = [this, upstream](UpstreamState from, UpstreamState to, double severity) {
+        onEndpointChanged(upstream, from, to, severity);
+    };
+    return hooks;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Events
+//-----------------------------------------------------------------------------
+
+void ControlPlane::tick()
+{
+    Instant now = currentInstant();
+    for (auto& [name, supervisor] : m_supervisors)
+        supervisor->tick(now);
+    m_membership->tick(now);
+    onMembershipChanges();
+    sendGossip();
+    m_configuration->tick();
+    if (m_audit)
+        m_audit->tick(now);
+    if (now >= m_nextSeeds && !m_isStopping) {
+        m_nextSeeds = now + seedsPeriod;
+        publishSeeds();
+    }
+}
+
+void ControlPlane::sendGossip()
+{
+    for (const OutgoingGossip& message : m_membership->takeMessages())
+        m_gossip->send(message);
+}
+
+void ControlPlane::onMembershipChanges()
+{
+    for (const MembershipChange& change : m_membership->takeChanges()) {
+        if (change.event == MemberEvent::DigestSeen) {
+            m_configuration->digestSeen(change.node, change.configurationDigest);
+            continue;
+        }
+        if (change.event == MemberEvent::SelfSuperseded) {
+            log(LogLevel::Error, "node.superseded", { { "node", m_settings.nodeName }, { "by", toString(change.incarnation) } });
+            m_task.post([this] { stop([this] { m_task.stop(); }); });
+            continue;
+        }
+        bool isFirstPeer = change.event == MemberEvent::Joined && !m_configuration->isReady();
+        if (isFirstPeer)
+            m_configuration->start(choosePeersToAsk(*m_membership, peersAskedPerDataCentre, m_random));
+        m_candidatesChanged = true;
+    }
+    if (std::exchange(m_candidatesChanged, false))
+        refreshCandidates();
+}
+
+void ControlPlane::refreshCandidates()
+{
+    m_node->setCandidates(std::make_shared<const CandidateList>(makeCandidates(*m_membership)));
+    refreshWatchRole();
+}
+
+void ControlPlane::refreshWatchRole()
+{
+    WatchRole role = m_isStopping ? WatchRole::None : chooseWatchRole(*m_membership);
+    if (role == m_role)
+        return;
+    m_role = role;
+    m_configuration->setRole(role);
+    if (role == WatchRole::Watcher)
+        audit(AuditEventKind::WatchTakeover, "", m_settings.location.dataCentre, "this node watches the store");
+}
+
+void ControlPlane::onRoutes(const std::shared_ptr<const RouteTable>& routes)
+{
+    m_routes = routes;
+    m_node->setRoutes(routes);
+    m_node->postExecutor([services = m_services, routes] {
+        if (services->operations)
+            services->operations->setRoutes(routes);
+    });
+    for (auto& [name, supervisor] : m_supervisors)
+        supervisor->configure(routes->service(supervisor->announcement().service));
+}
+
+void ControlPlane::onSamples(const std::vector<UpstreamSample>& samples)
+{
+    for (const UpstreamSample& it : samples) {
+        auto supervisor = m_supervisors.find(it.upstream);
+        if (supervisor != m_supervisors.end())
+            supervisor->second->record(it.sample, it.at);
+    }
+}
+
+void ControlPlane::onEndpointChanged(const std::string& upstream, UpstreamState from, UpstreamState to, double severity)
+{
+    log(LogLevel::Info, "upstream.state",
+        { { "upstream", upstream }, { "from", toString(from) }, { "to", toString(to) }, { "severity", severity } });
+    auto it = m_supervisors.find(upstream);
+    std::string service = it == m_supervisors.end() ? "" : it->second->announcement().service;
+    std::string reason = fmt::format("{} -> {}, severity {:.2f}", toString(from), toString(to), severity);
+    if (to == UpstreamState::Ejected)
+        audit(AuditEventKind::Ejection, service, upstream, reason);
+    else if (from == UpstreamState::Ejected)
+        audit(AuditEventKind::Readmission, service, upstream, reason);
+    else if (to == UpstreamState::Degraded)
+        audit(AuditEventKind::Degraded, service, upstream, reason);
+    else if (to == UpstreamState::Draining || to == UpstreamState::Gone)
+        audit(AuditEventKind::Drain, service, upstream, reason);
+}
+
+Result<void> ControlPlane::onAnnouncement(const Announcement& announcement)
+{
+    if (m_isStopping)
+        return Error { ErrorCode::Unavailable, "announce", announcement.name, "this node is shutting down" };
+    auto& supervisor = m_supervisors[announcement.name];
+    if (supervisor && supervisor->announcement().service != announcement.service)
+        return Error { ErrorCode::Conflict, "announce", announcement.name, "announced before with another service" };
+    if (!supervisor) {
+        supervisor = std::make_unique<Supervisor>(announcement, m_incarnation, m_store.get(), supervisorHooks(announcement.name));
+        if (m_routes)
+            supervisor->configure(m_routes->service(announcement.service));
+    }
+    supervisor->announced(announcement, currentInstant());
+    onMembershipChanges();
+    sendGossip();
+    return boost::outcome_v2::success();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Seeds in the store
+//-----------------------------------------------------------------------------
+
+// A node without a reachable seed in its settings joins through the addresses that others have published.
+void ControlPlane::joinThroughStore()
+{
+    if (!m_store)
+        return;
+    m_store->list(seedsKind, [this](const Result<std::vector<StoredObject>>& result) {
+        if (!result)
+            return log(LogLevel::Warning, "seeds.read", result.error());
+        for (const StoredObject& object : result.value()) {
+            Json json = Json::parse(object.value, nullptr, false);
+            if (!json.is_array())
+                continue;
+            for (const Json& address : json) {
+                if (address.is_string())
+                    m_membership->addSeed(address.get<std::string>());
+            }
+        }
+    });
+}
+
+// Watchers keep the published addresses of their data centre current. A lost race is settled by the next look.
+void ControlPlane::publishSeeds()
+{
+    if (!m_store || m_role != WatchRole::Watcher)
+        return;
+    std::vector<std::string> addresses;
+    m_membership->forEach([&](const NodeRecord& record) {
+        bool isNear = record.location == m_settings.location && record.status == NodeStatus::Alive;
+        if (isNear && addresses.size() < seedsPerDataCentre)
+            addresses.push_back(record.gossipAddress);
+    });
+    std::string value = Json(addresses).dump();
+    std::string name = objectName(m_settings.location.dataCentre);
+    m_store->get(seedsKind, name, [this, name, value](const Result<StoredObject>& result) {
+        bool isAbsent = !result && result.error().code == ErrorCode::NotFound;
+        if ((!result && !isAbsent) || (result && result.value().value == value))
+            return;
+        uint64_t version = result ? result.value().version : 0;
+        m_store->put(seedsKind, name, value, version, [](const Result<uint64_t>&) { });
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Graceful end
+//-----------------------------------------------------------------------------
+
+void ControlPlane::stop(std::function<void()> done)
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    log(LogLevel::Info, "node.stopping", { { "node", m_settings.nodeName } });
+    m_stopped = std::move(done);
+    m_membership->leave(currentInstant());
+    sendGossip();
+    refreshWatchRole();
+    m_node->stop([this] { m_task.post([this] { finishStop(); }); });
+}
+
+void ControlPlane::finishStop()
+{
+    audit(AuditEventKind::NodeStopped, "", m_settings.nodeName, "every request in flight has ended");
+    auto end = [this](bool isFlushed) {
+        log(isFlushed ? LogLevel::Info : LogLevel::Warning, "node.stopped",
+            { { "node", m_settings.nodeName }, { "audit_events_lost", m_audit ? m_audit->bufferedEvents() : size_t { 0 } } });
+        m_stopped();
+    };
+    if (m_audit)
+        m_audit->flush(end);
+    else
+        end(true);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Views for operators
+//-----------------------------------------------------------------------------
+
+AdminCallbacks ControlPlane::adminCallbacks()
+{
+    AdminCallbacks callbacks;
+    callbacks.isHealthy = [this] { return !m_isStopping && m_configuration->isReady(); };
+    callbacks.metrics = [this] { return metricsPage(); };
+    callbacks.status = [this] { return statusJson(); };
+    callbacks.announce = [this](const Announcement& announcement) { return onAnnouncement(announcement); };
+    callbacks.operations = [this] { return operationsJson(); };
+    callbacks.resolve = [this](const Resolution& resolution) -> Result<void> {
+        auto id = parseId128(resolution.operation);
+        auto it = std::find_if(m_unresolved.begin(), m_unresolved.end(),
+            [&](const UnresolvedOperation& operation) { return id && operation.operation == *id; });
+        if (it == m_unresolved.end())
+            return Error { ErrorCode::NotFound, "operations.resolve", resolution.operation, "" };
+        audit(AuditEventKind::OperationResolved, it->service, resolution.operation, resolution.reason, resolution.actor);
+        m_unresolved.erase(it);
+        m_node->postExecutor([services = m_services, operation = *id] {
+            if (services->operations)
+                services->operations->resolve(operation);
+        });
+        return boost::outcome_v2::success();
+    };
+    return callbacks;
+}
+
+void ControlPlane::audit(AuditEventKind kind, const std::string& service, const std::string& subject, const std::string& reason,
+    const std::string& actor)
+{
+    if (!m_audit)
+        return;
+    AuditEvent event;
+    event.kind = kind;
+    event.time = currentWallTime();
+    event.actor = actor;
+    event.service = service;
+    event.subject = subject;
+    event.reason = reason;
+    m_audit->record(std::move(event));
+}
+
+std::string ControlPlane::statusJson() const
+{
+    Json documents = Json::array();
+    for (const ConfigurationRecord& record : m_configuration->ledger().held())
+        documents.push_back({ { "name", record.name }, { "version", record.version } });
+    Json members = Json::array();
+    m_membership->forEach([&](const NodeRecord& record) { members.push_back(toJson(record)); });
+    Json status { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
+        { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() }, { "ready", m_configuration->isReady() },
+        { "stopping", m_isStopping }, { "configuration", documents }, { "unresolvedOperations", m_unresolved.size() },
+        { "members", members } };
+    return status.dump();
+}
+
+std::string ControlPlane::operationsJson() const
+{
+    Json list = Json::array();
+    for (const UnresolvedOperation& it : m_unresolved) {
+        list.push_back({ { "id", toString(it.operation) }, { "service", it.service }, { "route", it.route },
+            { "outcome", toString(it.outcome) }, { "reason", toString(it.reason) }, { "status", it.status },
+            { "ageSeconds", std::chrono::duration_cast<std::chrono::seconds>(it.age).count() } });
+    }
+    return list.dump();
+}
+
+std::string ControlPlane::metricsPage()
+{
+    auto set = [this](const char* name, const char* help, double value) { m_metrics.gauge(name, help).set(value); };
+    const MembershipCounters& gossip = m_membership->counters();
+    set("gossip_sent_bytes", "Bytes of gossip sent since the start.", static_cast<double>(gossip.bytes));
+    set("gossip_sent_count", "Gossip datagrams sent since the start.", static_cast<double>(gossip.messages));
+    set("gossip_dropped_count", "Datagrams dropped as invalid or replayed.", static_cast<double>(m_gossip->drops().total()));
+    set("members_live_count", "Members alive or suspected, this node included.", static_cast<double>(m_membership->liveCount()));
+    set("operations_unresolved_count", "Operations whose caller may not know the outcome.", static_cast<double>(m_unresolved.size()));
+    set("configuration_store_calls_count", "Calls to the store for configuration since the start.",
+        static_cast<double>(m_configuration->storeCalls()));
+    if (m_audit) {
+        set("audit_buffered_count", "Audit events not yet in the store.", static_cast<double>(m_audit->bufferedEvents()));
+        set("audit_dropped_count", "Audit events lost to the bound of the buffer.", static_cast<double>(m_audit->droppedEvents()));
+    }
+    return m_metrics.print();
+}
+
+} // namespace Gooseberrymill
--- /dev/null
+++ b/src/node/ControlPlane.h
@@ -0,0 +1,108 @@
+// Everything of a node but the request path: membership, configuration, ejection, audit trail, metrics,
+// admin HTTP. Lives on the control task and owns the request path (Node).
+#pragma once
+
+#include "AdminServer.h"
+#include "AuditTrail.h"
+#include "ConfigurationDriver.h"
+#include "GossipSocket.h"
+#include "Metrics.h"
+#include "Node.h"
+#include "OperationService.h"
+#include "StoreClient.h"
+#include "UpstreamSupervisor.h"
+
+#include <atomic>
+
+namespace Gooseberrymill {
+
+class ControlPlane {
+public:
+    ControlPlane(Task&, Settings);
+    ~ControlPlane();
+
+    // Binds all sockets and starts the tasks.
+    std::optional<Error> start();
+
+    // Graceful end: leaves the membership, finishes every request, flushes the audit trail, then calls `done`.
+    void stop(std::function<void()> done);
+
+    uint16_t adminPort() const { return m_adminPort; }
+
+private:
+    using Supervisor = UpstreamSupervisor<StoreClient>;
+
+    struct UpstreamSample {
+        std::string upstream;
+        Sample sample;
+        Instant at;
+    };
+
+    // Owned by the executor's task.
+    struct ExecutorServices {
+        std::unique_ptr<StoreClient> store;
+        std::unique_ptr<OperationService<StoreClient>> operations;
+        SourceHandle timer;
+        std::vector<UpstreamSample> samples; // not yet posted
+    };
+
+    // [SECTION] Construction
+    ExecutorHooks executorHooks();
+    EntryHooks entryHooks();
+    ConfigurationHooks configurationHooks();
+    SupervisorHooks supervisorHooks(const std::string& upstream);
+    AdminCallbacks adminCallbacks();
+    std::optional<Error> startGossip();
+    std::optional<Error> startAdmin();
+    void startExecutorServices(Task&);
+    void flushSamples();
+
+    // [SECTION] Events
+    void tick();
+    void sendGossip();
+    void onMembershipChanges();
+    void refreshCandidates();
+    void refreshWatchRole();
+    void onRoutes(const std::shared_ptr<const RouteTable>&);
+    void onSamples(const std::vector<UpstreamSample>&);
+    void onEndpointChanged(const std::string& upstream, UpstreamState from, UpstreamState to, double severity);
+    Result<void> onAnnouncement(const Announcement&);
+    void joinThroughStore();
+    void publishSeeds();
+    void finishStop();
+
+    // [SECTION] Views
+    void audit(AuditEventKind, const std::string& service, const std::string& subject, const std::string& reason,
+        const std::string& actor = "node");
+    std::string statusJson() const;
+    std::string operationsJson() const;
+    std::string metricsPage();
+
+    Task& m_task;
+    Settings m_settings;
+    std::mt19937_64 m_random;
+    Id128 m_incarnation;
+    std::unique_ptr<StoreClient> m_store; // null without a store
+    std::unique_ptr<RelayClient> m_relay; // queries to peers
+    MetricsRegistry m_metrics;
+    std::unique_ptr<AuditTrail<StoreClient>> m_audit;
+    std::unique_ptr<Membership> m_membership;
+    std::unique_ptr<GossipSocket> m_gossip;
+    std::unique_ptr<ConfigurationDriver<StoreClient>> m_configuration;
+    std::map<std::string, std::unique_ptr<Supervisor>, std::less<>> m_supervisors; // by upstream
+    std::shared_ptr<const RouteTable> m_routes;
+    std::shared_ptr<ExecutorServices> m_services;
+    std::unique_ptr<Node> m_node;
+    std::unique_ptr<AdminServer> m_admin;
+    std::vector<UnresolvedOperation> m_unresolved; // last list of the executor
+    std::atomic<uint64_t> m_digest { 0 }; // read by the entry workers
+    uint16_t m_adminPort = 0;
+    WatchRole m_role = WatchRole::None;
+    bool m_candidatesChanged = false;
+    bool m_isStopping = false;
+    Instant m_nextSeeds { };
+    std::function<void()> m_stopped;
+    SourceHandle m_timer;
+};
+
+} // namespace Gooseberrymill
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -46,12 +46,15 @@
     // is never answered with Run.
     std::function<void(const RequestHead&, std::string_view body, std::function<void(GateDecision)> decide)> begin;
     // The response is complete. `response` is null when it was too large to keep.
-    std::function<void(const RequestHead&, std::shared_ptr<const StoredResponse> response)> settle;
+    // `delivered`: the entry still waits for it.
+    std::function<void(const RequestHead&, std::shared_ptr<const StoredResponse> response, bool delivered)> settle;
     // The operation ended without a complete response. NotRun: it may run again.
     std::function<void(const RequestHead&, const Refusal&)> finish;
 };
 
 struct ExecutorHooks {
+    std::function<void(Task&)> started; // on the executor's task, before it listens
+    std::function<void()> stopped; // on the executor's task, after the last request
     OperationGate operations;
     std::function<void(const std::string& upstream, const Sample&, Instant)> sample; // health evidence
     std::function<std::optional<Refusal>(const RequestHead&)> screen; // refuses a query of death
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -274,7 +274,7 @@
     if (m_gateOpen && m_executor.m_hooks.operations.settle) {
         if (m_stored)
             m_stored->head = m_response;
-        m_executor.m_hooks.operations.settle(head(), m_stored);
+        m_executor.m_hooks.operations.settle(head(), m_stored, !m_callerGone);
     }
     m_gateOpen = false;
     if (!m_headSent) {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -20,11 +20,11 @@
     done.get_future().wait();
 }
 
-Node::Node(Settings settings, ExecutorHooks executorHooks, EntryHooks entryHooks)
+Node::Node(Settings settings, ExecutorHooks executorHooks, EntryHooksFactory makeEntryHooks, Id128 incarnation)
     : m_settings(std::move(settings))
-    , m_identity { m_settings.fleetKey, m_settings.nodeName, randomId() }
+    , m_identity { m_settings.fleetKey, m_settings.nodeName, incarnation ? incarnation : randomId() }
     , m_executorHooks(std::move(executorHooks))
-    , m_entryHooks(std::move(entryHooks))
+    , m_makeEntryHooks(std::move(makeEntryHooks))
 {
 }
 
@@ -47,6 +47,8 @@
             = [](const UpstreamEndpoint& endpoint) { return AdmissionQueue(endpoint.slots, AdmissionPolicy()); };
         m_executor = std::make_unique<Executor<AdmissionQueue>>(
             *m_executorTask, m_settings, m_identity, m_executorHooks, makeQueue);
+        if (m_executorHooks.started)
+            m_executorHooks.started(*m_executorTask);
         auto port = m_executor->listen(m_settings.relayListen);
         if (port)
             m_relayPort = port.value();
@@ -66,7 +68,7 @@
         worker.task->start();
         runOn(*worker.task, [&] {
             worker.entry = std::make_unique<EntryServer<Balancer>>(
-                *worker.task, m_settings, m_identity, m_entryHooks, Balancer(m_settings.location, randomId().low));
+                *worker.task, m_settings, m_identity, m_makeEntryHooks ? m_makeEntryHooks() : EntryHooks {}, Balancer(m_settings.location, randomId().low));
             auto port = worker.entry->listen(m_settings.callerListen.host, m_callerPort);
             if (port)
                 m_callerPort = port.value();
@@ -137,7 +139,11 @@
     }
     m_workers.clear();
     if (m_executorTask)
-        runOn(*m_executorTask, [&] { m_executor.reset(); });
+        runOn(*m_executorTask, [&] {
+            m_executor.reset();
+            if (m_executorHooks.stopped)
+                m_executorHooks.stopped();
+        });
     m_executorTask.reset();
 }
 
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -8,7 +8,10 @@
 
 class Node {
 public:
-    explicit Node(Settings, ExecutorHooks = {}, EntryHooks = {});
+    // Each entry worker gets hooks of its own, since workers run on different threads.
+    using EntryHooksFactory = std::function<EntryHooks()>;
+
+    explicit Node(Settings, ExecutorHooks = {}, EntryHooksFactory = {}, Id128 incarnation = {});
     ~Node(); // ends at once; call stop() before for a graceful end
 
     // Binds the listeners and starts the tasks. The ports taken are known afterwards.
@@ -23,6 +26,9 @@
     // listening, waits for every request in flight. `done` runs on a task of the node.
     void stop(std::function<void()> done);
 
+    // Runs the message on the executor's task.
+    void postExecutor(Mailbox::Message message) { m_executorTask->post(std::move(message)); }
+
     uint16_t callerPort() const { return m_callerPort; }
     std::string relayAddress() const; // advertised, or the one bound
     const Id128& incarnation() const { return m_identity.incarnation; }
@@ -43,7 +49,7 @@
     Settings m_settings;
     RelayIdentity m_identity;
     ExecutorHooks m_executorHooks;
-    EntryHooks m_entryHooks;
+    EntryHooksFactory m_makeEntryHooks;
     uint16_t m_callerPort = 0;
     uint16_t m_relayPort = 0;
     std::unique_ptr<Task> m_executorTask;
--- a/src/node/OperationService.h
+++ b/src/node/OperationService.h
@@ -6,6 +6,8 @@
 #include "core/OperationTable.h"
 #include "Executor.h"
 #include "FleetAuth.h"
+#include "Task.h"
+#include "RequestFingerprint.h"
 
 namespace Gooseberrymill {
 
@@ -24,50 +26,8 @@
 
     void setRoutes(std::shared_ptr<const RouteTable> routes) { m_routes = std::move(routes); }
 
-    OperationGate gate()
-    {
-        OperationGate gate;
-        gate.begin = [this](const RequestHead& head, std::string_view body, Decide decide) {
-            begin(head, body, std::move(decide));
-        };
-        gate.settle = [this](const RequestHead& head, std::shared_ptr<const StoredResponse> response, bool delivered) {
-            settle(head, response, delivered);
-        };
-        gate.finish = [this](const RequestHead& head, const Refusal& refusal) { finish(head, refusal); };
-        return gate;
-    }
-
-    // Binds a new operation to this incarnation; a zero operation when the table is full.
-    TokenReply issueToken(const TokenQuery& query)
-    {
-        TokenReply reply;
-        reply.requestId = query.requestId;
-        reply.executor = m_table.incarnation();
-        Id128 operation = randomId();
-        if (!m_table.issueToken(operation, query.service, currentInstant()))
-            return reply;
-        reply.operation = operation;
-        reply.lifetimeMs = static_cast<uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.tokenLifetime).count());
-        return reply;
-    }
-
-    void tick()
-    {
-        m_table.tick(currentInstant());
-        if (m_claims)
-            m_claims->tick();
-    }
-
-    std::vector<UnresolvedOperation> unresolved() const { return m_table.unresolved(currentInstant()); }
-    void resolve(const Id128& operation) { m_table.resolve(operation); }
-
-private:
+    // The calls of OperationGate.
     using Decide = std::function<void(GateDecision)>;
-
-    // The claim must be settled well before the caller's deadline, so that the request still has time to run.
-    static constexpr Duration maxClaimWait = 5s;
-
     void begin(const RequestHead& head, std::string_view body, Decide decide)
     {
         const Service* service = m_routes ? m_routes->service(head.service) : nullptr;
@@ -91,17 +51,6 @@
             answer(waiter, decision);
     }
 
-    void claim(const RequestHead& head, Instant now)
-    {
-        Claim claim = m_table.claimFor(head.operation);
-        if (!m_claims) {
-            deliver(m_table.claimSettled({ head.operation, ClaimVerdict::Unavailable, claim }, now));
-            return;
-        }
-        Duration wait = std::min(maxClaimWait, Duration(std::chrono::milliseconds(head.deadlineMs)) / 2);
-        m_claims->claim(head.service, claim, now + wait);
-    }
-
     void settle(const RequestHead& head, const std::shared_ptr<const StoredResponse>& response, bool delivered)
     {
         if (!m_table.dispatched(head.operation))
@@ -125,6 +74,46 @@
             mark(head, ClaimState::Unknown, 0);
     }
 
+    // Binds a new operation to this incarnation; a zero operation when the table is full.
+    TokenReply issueToken(const TokenQuery& query)
+    {
+        TokenReply reply;
+        reply.requestId = query.requestId;
+        reply.executor = m_table.incarnation();
+        Id128 operation = randomId();
+        if (!m_table.issueToken(operation, query.service, currentInstant()))
+            return reply;
+        reply.operation = operation;
+        reply.lifetimeMs = static_cast<uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.tokenLifetime).count());
+        return reply;
+    }
+
+    void tick()
+    {
+        m_table.tick(currentInstant());
+        if (m_claims)
+            m_claims->tick();
+    }
+
+    std::vector<UnresolvedOperation> unresolved() const { return m_table.unresolved(currentInstant()); }
+    void resolve(const Id128& operation) { m_table.resolve(operation); }
+
+private:
+    // The claim must be settled well before the caller's deadline, so that the request still has time to run.
+    static constexpr Duration maxClaimWait = 5s;
+
+    void claim(const RequestHead& head, Instant now)
+    {
+        Claim claim = m_table.claimFor(head.operation);
+        if (!m_claims) {
+            deliver(m_table.claimSettled({ head.operation, ClaimVerdict::Unavailable, claim }, now));
+            return;
+        }
+        Duration wait = std::min(maxClaimWait, Duration(std::chrono::milliseconds(head.deadlineMs)) / 2);
+        m_claims->claim(head.service, claim, now + wait);
+    }
+
     void mark(const RequestHead& head, ClaimState state, uint16_t status)
     {
         if (m_claims && head.operationKind == OperationKind::Key)
