Release descriptors of kept-alive caller connections

Cause: libsoup 3.2.3 does not notice the end of a kept-alive connection on which a request was served, and keeps its descriptor (10 connections left 10 descriptors in a plain SoupServer). Change: the entry worker checks idle connections every 250 ms and closes those that ended, are too old or too many. DataPathTests and RelayFramesTests pass.

--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
 
 namespace Gooseberrymill {
 
@@ -171,15 +170,7 @@
     end();
 }
 
-bool EntryExchange::isCallerClosed() const
-{
-    GSocket* socket = soup_server_message_get_socket(m_message.get());
-    if (!socket)
-        return true;
-    char byte = 0;
-    ssize_t n = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
-}
+bool EntryExchange::isCallerClosed() const { return isAtEnd(soup_server_message_get_socket(m_message.get())); }
 
 void EntryExchange::sweep(Instant now)
 {
--- a/src/node/EntryServer.cpp
+++ b/src/node/EntryServer.cpp
@@ -4,13 +4,13 @@
 #include "Log.h"
 
 #include <algorithm>
-#include <sys/socket.h>
 
 namespace Gooseberrymill {
 
 namespace {
 
 constexpr Duration sweepInterval = 25ms;
+constexpr Duration idleCheckInterval = 250ms;
 
 } // namespace
 
@@ -123,17 +123,26 @@
     closeIdle(now);
 }
 
+// libsoup 3.2.3 does not notice the end of a kept-alive connection on which a request was served, so idle
+// connections are checked here and their descriptors closed.
 void EntryWorker::closeIdle(Instant now)
 {
+    if (now < m_nextIdleCheck)
+        return;
+    m_nextIdleCheck = now + idleCheckInterval;
     size_t excess = m_connections.size() - std::min(m_connections.size(), m_maxConnections);
-    for (auto& [socket, connection] : m_connections) {
-        if (connection->busy)
-            continue;
-        bool old = now - connection->idleSince >= m_settings.idleTimeout;
-        if (!old && !excess && !m_stopped)
+    for (auto it = m_connections.begin(); it != m_connections.end();) {
+        CallerConnection& connection = *it->second;
+        bool old = now - connection.idleSince >= m_settings.idleTimeout;
+        bool unwanted = old || excess || m_stopped;
+        if (connection.busy || (!unwanted && !isAtEnd(it->first))) {
+            ++it;
             continue;
+        }
         excess -= excess > 0;
-        shutdown(g_socket_get_fd(socket), SHUT_RDWR); // libsoup sees the end and closes
+        g_object_weak_unref(G_OBJECT(it->first), &EntryWorker::onSocketGone, &connection);
+        g_socket_close(it->first, nullptr);
+        it = m_connections.erase(it);
     }
 }
 
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -109,6 +109,7 @@
     std::set<std::shared_ptr<EntryExchange>> m_exchanges;
     std::unordered_map<GSocket*, std::unique_ptr<CallerConnection>> m_connections;
     size_t m_maxConnections;
+    Instant m_nextIdleCheck {};
     SourceHandle m_sweepSource;
     bool m_draining = false;
     bool m_stopped = false; // no new connections
--- a/src/node/GlibCalls.cpp
+++ b/src/node/GlibCalls.cpp
@@ -121,6 +121,15 @@
     return address ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address.get())) : 0;
 }
 
+bool isAtEnd(GSocket* socket)
+{
+    if (!socket || g_socket_is_closed(socket))
+        return true;
+    char byte = 0;
+    ssize_t n = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void closeWithReset(GSocket* socket)
 {
     linger option { 1, 0 };
--- a/src/node/GlibCalls.h
+++ b/src/node/GlibCalls.h
@@ -28,6 +28,9 @@
 Result<ObjectHandle<GSocket>> listenSocket(const std::string& host, uint16_t port, bool reusePort);
 uint16_t localPort(GSocket*);
 
+// True when the peer has closed and everything it sent was read. Null counts as closed.
+bool isAtEnd(GSocket*);
+
 // Closes with a reset, so that the peer cannot take what it got for a whole message.
 void closeWithReset(GSocket*);
 
--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -1,7 +1,6 @@
 #include "UpstreamClient.h"
 
 #include <fmt/format.h>
-#include <sys/socket.h>
 
 namespace Gooseberrymill {
 
@@ -30,14 +29,6 @@
     return soup_message_headers_get_encoding(soup_message_get_response_headers(message)) == SOUP_ENCODING_CHUNKED;
 }
 
-bool isAtEnd(GSocket* socket)
-{
-    if (!socket || g_socket_is_closed(socket))
-        return true;
-    char byte = 0;
-    return !recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-}
-
 int64_t declaredLength(SoupMessage* message)
 {
     auto* headers = soup_message_get_response_headers(message);
