--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -209,6 +209,7 @@
     std::vector<HealthSummary> peerHealth(std::string_view service, Duration maxAge, Instant now) const;
     Duration suspicionTimeout() const;
     size_t retransmitLimit() const;
+    size_t queuedUpdates() const { return m_queue.size(); }
     const MembershipCounters& counters() const { return m_counters; }
 
 private:
