--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -291,8 +291,8 @@
     std::promise<void> stored;
     FleetOptions options { .nodes = 1, .slots = 1 };
     options.executorHooks.operations.begin = [](const RequestHead&, std::string_view,
-                                                 const std::function<void(OperationDecision)>& decide) { decide({}); };
-    options.executorHooks.operations.settle = [&](const RequestHead&, const std::shared_ptr<const StoredResponse>& r) {
+                                                 const std::function<void(GateDecision)>& decide) { decide({}); };
+    options.executorHooks.operations.settle = [&](const RequestHead&, const std::shared_ptr<const StoredResponse>& r, bool) {
         if (r && ++settled == 1)
             stored.set_value();
     };
@@ -373,17 +373,17 @@
     std::atomic<int> inquiries = 0;
     FleetOptions options { .nodes = 2 };
     options.executorHooks.operations.begin
-        = [&](const RequestHead& head, std::string_view, const std::function<void(OperationDecision)>& decide) {
-              OperationDecision decision;
+        = [&](const RequestHead& head, std::string_view, const std::function<void(GateDecision)>& decide) {
+              GateDecision decision;
               if (head.inquiry) {
                   ++inquiries;
                   auto stored = std::make_shared<StoredResponse>();
                   stored->head.status = 201;
                   stored->body = "first outcome";
-                  decision.kind = OperationDecision::Kind::Respond;
+                  decision.kind = GateDecision::Kind::Respond;
                   decision.response = stored;
               } else {
-                  decision.kind = OperationDecision::Kind::Refuse;
+                  decision.kind = GateDecision::Kind::Refuse;
                   decision.refusal.reason = RefusalReason::HeldElsewhere;
                   decision.refusal.holder = (*members)[1].node->incarnation();
               }
