Refuse chunked bodies above the bound in the admin server

A chunked body above the bound that had arrived whole before its connection was cut was still passed to the handler: in the first run of bodiesAreBounded under the sanitizers the announcement was accepted. The handler now refuses such a body with 413.

The property damagedAnnouncementsAreRefusedOrValid read the value of an empty result, because RC_ASSERT evaluates both sides of a logical operator; it now asserts under an if.

--- a/src/node/AdminServer.cpp
+++ b/src/node/AdminServer.cpp
@@ -154,6 +154,11 @@
 {
     auto* server = static_cast<AdminServer*>(self);
     std::string_view method = soup_server_message_get_method(message);
+    // A chunked body that had arrived whole gets here although its connection was cut.
+    if (soup_server_message_get_request_body(message)->length > static_cast<goffset>(maxBodyBytes)) {
+        answerError(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, fmt::format("at most {} bytes", maxBodyBytes));
+        return;
+    }
     if (method == "GET" || method == "HEAD") {
         server->serveGet(message, path);
     } else if (method == "POST") {
--- a/tests/AdminServerTests.cpp
+++ b/tests/AdminServerTests.cpp
@@ -126,7 +126,8 @@
     std::string text = goodAnnouncement;
     text.insert(*rc::gen::inRange<size_t>(0, text.size()), junk);
     auto parsed = parseAnnouncement(text);
-    RC_ASSERT(!parsed || parsed.value().slots >= 1);
+    if (parsed) // RC_ASSERT evaluates both sides of a logical operator
+        RC_ASSERT(parsed.value().slots >= 1U);
 }
 
 BOOST_FIXTURE_TEST_SUITE(server, AdminFixture)
