Show found values on one line in file errors

A wrong text was repeated raw, so that a value with line breaks or escape sequences broke the list of errors and a long one filled the terminal. Found values are now quoted, and cut after 80 bytes.

--- a/src/node/TomlSections.cpp
+++ b/src/node/TomlSections.cpp
@@ -70,7 +70,7 @@
 std::string describeNode(const toml::node& node)
 {
     if (const auto* text = node.as_string())
-        return fmt::format("\"{}\"", text->get());
+        return quoteFound(text->get());
     if (const auto* number = node.as_integer())
         return fmt::format("{}", number->get());
     if (const auto* number = node.as_floating_point())
@@ -171,6 +171,14 @@
     return ec == std::errc() && end == digits.data() + digits.size() && port && g_hostname_is_ip_address(host.c_str());
 }
 
+std::string quoteFound(std::string_view text)
+{
+    constexpr size_t maxShownBytes = 80;
+    bool isCut = text.size() > maxShownBytes;
+    std::string quoted = quoteToml(text.substr(0, maxShownBytes));
+    return isCut ? fmt::format("{}... ({} bytes)", quoted, text.size()) : quoted;
+}
+
 const TextRule nameRule { "a name of 1 to 64 letters, digits, '.', '_' or '-'", &isName };
 
 //-----------------------------------------------------------------------------
@@ -321,7 +329,7 @@
     auto value = parseSize(*text);
     if (value && *value >= bounds.min && *value <= bounds.max)
         return value;
-    reject(key, fmt::format("\"{}\"", *text), allowed);
+    reject(key, quoteFound(*text), allowed);
     return std::nullopt;
 }
 
@@ -335,8 +343,7 @@
         value = std::move(*found);
         return;
     }
-    std::string shown
-        = rule.secret ? fmt::format("a text of {} characters", found->size()) : fmt::format("\"{}\"", *found);
+    std::string shown = rule.secret ? fmt::format("a text of {} characters", found->size()) : quoteFound(*found);
     reject(key, std::move(shown), std::string(rule.allowed));
 }
 
@@ -378,7 +385,7 @@
     if (parsed && *parsed >= bounds.min && *parsed <= bounds.max)
         value = *parsed;
     else
-        reject(key, fmt::format("\"{}\"", *text), allowed);
+        reject(key, quoteFound(*text), allowed);
 }
 
 const toml::array* SectionReader::findArray(std::string_view key, std::string_view allowed, size_t limit)
--- a/src/node/TomlSections.h
+++ b/src/node/TomlSections.h
@@ -54,6 +54,9 @@
 bool isPrintable(std::string_view); // no control characters, valid for a one-line text
 bool isAddress(std::string_view); // "ip:port" or "[ip]:port", port above 0
 
+// A text as error messages show it: on one line, and cut when it is long.
+std::string quoteFound(std::string_view);
+
 extern const TextRule nameRule;
 
 // Conversion between a value and its text in the file.
@@ -145,7 +148,7 @@
         if (auto parsed = form.parse(*found))
             value = std::move(*parsed);
         else
-            reject(key, fmt::format("\"{}\"", *found), std::string(form.allowed));
+            reject(key, quoteFound(*found), std::string(form.allowed));
     }
 
     template <typename Function> void section(std::string_view key, Function&& describe)
--- a/tests/ConfigurationFileTests.cpp
+++ b/tests/ConfigurationFileTests.cpp
@@ -285,6 +285,18 @@
     }
 }
 
+// Guards against a value that breaks its error message into several lines, or fills the terminal.
+BOOST_AUTO_TEST_CASE(foundValuesStayOnOneLine)
+{
+    for (const std::string& value : { std::string("a\\nb\\u001b[31m"), std::string(100'000, 'x') }) {
+        auto result = parseConfiguration(replaced(goodText, "bayaran", value), "main.toml");
+        BOOST_REQUIRE(result.errors.size() == 1);
+        std::string text = toString(result.errors[0]);
+        BOOST_TEST(text.size() < 300U);
+        BOOST_TEST(std::none_of(text.begin(), text.end(), [](char c) { return c >= 0 && c < ' '; }), text);
+    }
+}
+
 // Guards against a syntax error without its place.
 BOOST_AUTO_TEST_CASE(reportsSyntaxErrors)
 {
