--- a/src/core/HealthMonitor.cpp
+++ b/src/core/HealthMonitor.cpp
@@ -36,6 +36,7 @@
 constexpr size_t windowAnswers = 4; // kept in the window even when they are older than it
 constexpr size_t maxAnswers = 512; // bounds memory per kind of work
 constexpr size_t varianceAnswers = 64;
+constexpr size_t timesPerUpdate = 8; // new answers until the variance is computed again
 constexpr size_t maxWork = 64; // kinds of work tracked
 constexpr Duration maxWindow = 60s;
 constexpr Duration maxPending = 30s; // an answer this old is judged without later ones
@@ -72,6 +73,14 @@
     return it == summary.work.end() || !it->count ? nullptr : &*it;
 }
 
+// Standard deviation of the normal distribution with the same range between the quartiles.
+double quartileDeviation(const std::deque<float>& values)
+{
+    std::vector<float> sorted(values.begin(), values.end());
+    std::ranges::sort(sorted);
+    return (sorted[sorted.size() * 3 / 4] - sorted[sorted.size() / 4]) / quartileRangeOfNormal;
+}
+
 // Mean over the peers without the worst quarter, so that a few unhealthy peers do not hide another one. A
 // failure of the whole service still shows.
 double trimmedMean(std::vector<double>& shares)
@@ -141,6 +150,7 @@
     if (answer.bad)
         return;
     work.times.push_back(answer.logTime);
+    ++work.newTimes;
     if (work.times.size() > varianceAnswers)
         work.times.pop_front();
 }
@@ -341,13 +351,11 @@
     result.logMean = *middle;
     if (recent.size() % 2 == 0)
         result.logMean = (*middle + *std::max_element(recent.begin(), middle)) / 2;
-    std::vector<float> times(work.times.begin(), work.times.end());
-    auto lower = times.begin() + static_cast<ptrdiff_t>(times.size() / 4);
-    auto upper = times.begin() + static_cast<ptrdiff_t>(times.size() * 3 / 4);
-    std::ranges::nth_element(times, lower);
-    if (upper != lower)
-        std::nth_element(lower + 1, upper, times.end());
-    double deviation = std::max(minLogDeviation, (*upper - *lower) / quartileRangeOfNormal);
+    if (work.newTimes >= timesPerUpdate || work.deviation == 0) {
+        work.deviation = quartileDeviation(work.times);
+        work.newTimes = 0;
+    }
+    double deviation = std::max(minLogDeviation, work.deviation);
     result.logVariance = static_cast<float>(deviation * deviation);
     return result;
 }
--- a/src/core/HealthMonitor.h
+++ b/src/core/HealthMonitor.h
@@ -21,8 +21,9 @@
 // caller passes only summaries received within the last few seconds.
 //
 // What cannot be told apart:
-// - One failed answer in five at 1 request/s: 30 answers hold at most three failures in 12% of all
-//   cases and at most one in 1%, while the false alarm rate asks for four or five. See docs/health.md.
+// - One failed answer in five at random, at 1 request/s, within 30 s: 30 answers hold at most three
+//   failures in 12% of all cases and at most one in 1%, while the false alarm rate asks for five. See
+//   docs/health.md.
 // - A slowdown by `slowRatio` when the healthy log service times have a standard deviation above about
 //   1.2: the shares of slow answers of a healthy and a slow upstream are then too close.
 // - A fault of more than half of the peers at once: it looks like a change of the whole service.
@@ -99,6 +100,8 @@
         std::deque<Answer> window; // for the summary
         std::deque<Answer> pending; // not yet judged
         std::deque<float> times; // recent log service times, for the variance
+        size_t newTimes = 0; // since the deviation was computed
+        double deviation = 0; // of `times`
         std::vector<PeerShare> peers;
         double arrivals = 0; // decayed count
         Instant firstAt;
