--- a/src/core/Ejection.cpp
+++ b/src/core/Ejection.cpp
@@ -176,6 +176,8 @@
         bool tookEffect = isOwn && own->state == UpstreamState::Ejected && own->attempt == m_grant->attempt;
         if (tookEffect)
             applyGrant(now);
+        if (tookEffect && m_state != UpstreamState::Ejected)
+            m_proposeAfter = now + m_settings.refusalDelay;
         m_grant.reset();
     }
     // An operator may have cleared the ejection, or a newer incarnation serves the upstream.
@@ -269,7 +271,7 @@
 
 void EjectionController::step(Instant now)
 {
-    bool wantsEjection = m_state == UpstreamState::Ready && m_wantsEjection;
+    bool wantsEjection = m_state == UpstreamState::Ready && m_wantsEjection && now >= m_proposeAfter;
     bool hasWork = m_dirty || wantsEjection;
     if (m_call || m_superseded || !hasWork || now < m_retryAt)
         return;
@@ -299,7 +301,7 @@
         = proposeEjection(*m_roster, m_settings.floorSlots, agedViews(now), request, m_settings.maxConfirmationAge);
     if (!proposal) {
         m_roster.reset(); // another executor may change it
-        m_retryAt = now + m_settings.refusalDelay;
+        m_proposeAfter = now + m_settings.refusalDelay;
         return;
     }
     ++m_attempts;
--- a/src/core/Ejection.h
+++ b/src/core/Ejection.h
@@ -104,7 +104,7 @@
     Duration grantValidity = 2s; // from sending the write to its effect, in local monotonic time
     Duration callTimeout = 2s; // of a store call; then its effect is unknown
     Duration settleDelay = 30s; // after a write of unknown effect the roster is read once more
-    Duration refusalDelay = 5s; // until the next proposal after the floor did not allow one
+    Duration refusalDelay = 5s; // until the next proposal after one was refused or withdrawn
     Duration firstBackoff = 500ms; // after a failed store call; doubles
     Duration maxBackoff = 30s;
     Duration readmitPatience = 2s; // for each less severe upstream that should return first
@@ -220,7 +220,8 @@
     std::optional<Instant> m_settleAt; // a write of unknown effect may still arrive
     std::optional<Instant> m_belowFloorSince;
     uint32_t m_failures = 0; // store calls failed in a row
-    Instant m_retryAt;
+    Instant m_retryAt; // of a store call
+    Instant m_proposeAfter; // a slow store must not lead to a sequence of ejections written and withdrawn
 };
 
 // Baseline: ejects on its own count of the upstreams in its view, without the store. Two executors with
