--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -27,15 +27,27 @@
         : m_store(store)
         , m_client(client)
         , m_hooks(std::move(hooks))
-        , m_sync(ConfigurationSyncSettings { }, seed, now)
+        , m_sync(ConfigurationSyncSettings {}, seed, now)
         , m_alive(std::make_shared<bool>(true))
     {
     }
 
-    void start(std::span<const std::string> peers) { run([&](Instant now) { m_sync.start(peers, now); }); }
-    void setRole(WatchRole role) { run([&](Instant now) { m_sync.roleChanged(role, now); }); }
-    void digestSeen(std::string_view peer, uint64_t digest) { run([&](Instant now) { m_sync.digestSeen(peer, digest, now); }); }
-    void tick() { run([&](Instant now) { m_sync.tick(now); }); }
+    void start(std::span<const std::string> peers)
+    {
+        run([&](Instant now) { m_sync.start(peers, now); });
+    }
+    void setRole(WatchRole role)
+    {
+        run([&](Instant now) { m_sync.roleChanged(role, now); });
+    }
+    void digestSeen(std::string_view peer, uint64_t digest)
+    {
+        run([&](Instant now) { m_sync.digestSeen(peer, digest, now); });
+    }
+    void tick()
+    {
+        run([&](Instant now) { m_sync.tick(now); });
+    }
 
     ConfigurationReply answer(const ConfigurationQuery& query) const { return m_sync.ledger().newerThan(query); }
     const ConfigurationLedger& ledger() const { return m_sync.ledger(); }
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -68,14 +68,15 @@
     }
     RelayIdentity identity { m_settings.fleetKey, m_settings.nodeName, m_incarnation };
     m_relay = std::make_unique<RelayClient>(m_task.context(), identity, m_settings.connectTimeout);
-    m_node = std::make_unique<Node>(m_settings, executorHooks(), [this] { return entryHooks(); }, m_incarnation);
+    m_node = std::make_unique<Node>(
+        m_settings, executorHooks(), [this] { return entryHooks(); }, m_incarnation);
     if (auto error = m_node->start())
         return error;
     if (auto error = startGossip())
         return error;
     m_configuration = std::make_unique<ConfigurationDriver<StoreClient>>(
         m_store.get(), *m_relay, m_random(), configurationHooks(), currentInstant());
-    m_configuration->start({ });
+    m_configuration->start({});
     if (auto error = startAdmin())
         return error;
     joinThroughStore();
@@ -138,10 +139,10 @@
     gate.begin = [services = m_services](const RequestHead& head, std::string_view body, auto decide) {
         services->operations->begin(head, body, std::move(decide));
     };
-    gate.settle = [services = m_services](const RequestHead& head, std::shared_ptr<const StoredResponse> response, bool delivered) {
-        services->operations->settle(head, response, delivered);
-    };
-    gate.finish = [services = m_services](const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
+    gate.settle = [services = m_services](const RequestHead& head, std::shared_ptr<const StoredResponse> response,
+                      bool delivered) { services->operations->settle(head, response, delivered); };
+    gate.finish = [services = m_services](
+                      const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
     hooks.token = [services = m_services](TokenQuery&& query, std::function<void(TokenReply)> reply) {
         reply(services->operations->issueToken(query));
     };
@@ -150,7 +151,7 @@
     };
     hooks.configuration = [this](ConfigurationQuery&& query, std::function<void(ConfigurationReply)> reply) {
         m_task.post([this, query = std::move(query), reply = std::move(reply)] {
-            ConfigurationReply answer = m_configuration ? m_configuration->answer(query) : ConfigurationReply { };
+            ConfigurationReply answer = m_configuration ? m_configuration->answer(query) : ConfigurationReply {};
             m_node->postExecutor([answer = std::move(answer), reply] { reply(answer); });
         });
     };
@@ -161,7 +162,8 @@
 {
     if (!m_settings.storeUrl.empty())
         m_services->store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout);
-    m_services->operations = std::make_unique<OperationService<StoreClient>>(m_incarnation, OperationLimits { }, m_services->store.get());
+    m_services->operations
+        = std::make_unique<OperationService<StoreClient>>(m_incarnation, OperationLimits {}, m_services->store.get());
     m_services->timer = task.every(samplePeriod, [this] {
         m_services->operations->tick();
         flushSamples();
@@ -172,7 +174,7 @@
 void ControlPlane::flushSamples()
 {
     auto unresolved = m_services->operations->unresolved();
-    auto samples = std::exchange(m_services->samples, { });
+    auto samples = std::exchange(m_services->samples, {});
     m_task.post([this, samples = std::move(samples), unresolved = std::move(unresolved)] {
         onSamples(samples);
         m_unresolved = unresolved;
@@ -184,7 +186,7 @@
 {
     auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
     auto budgetOf = [budgets](const std::string& service) -> RetryBudget& {
-        return budgets->try_emplace(service, RetryPolicy { }.budgetShare).first->second;
+        return budgets->try_emplace(service, RetryPolicy {}.budgetShare).first->second;
     };
     EntryHooks hooks;
     hooks.offered = [budgetOf](const std::string& service) { budgetOf(service).offered(currentInstant()); };
@@ -210,8 +212,8 @@
             fmt::format("version {}, change id {}", record.version, record.changeId), record.author);
     };
     hooks.refused = [this](const ConfigurationRecord& record, const std::string& reason) {
-        audit(AuditEventKind::ConfigurationRefused, "", record.name, fmt::format("version {}: {}", record.version, reason),
-            record.author);
+        audit(AuditEventKind::ConfigurationRefused, "", record.name,
+            fmt::format("version {}: {}", record.version, reason), record.author);
     };
     return hooks;
 }
@@ -224,8 +226,11 @@
         m_membership->setUpstream(record, currentInstant());
         m_candidatesChanged = true;
     };
-    hooks.views = [this](std::string_view service) { return makeUpstreamViews(*m_membership, service, currentInstant()); };
-    hooks.peerHealth = [this](std::string_view service) { return m_membership->peerHealth(service, peerHealthAge, currentInstant()); };
+    hooks.views
+        = [this](std::string_view service) { return makeUpstreamViews(*m_membership, service, currentInstant()); };
+    hooks.peerHealth = [this](std::string_view service) {
+        return m_membership->peerHealth(service, peerHealthAge, currentInstant());
+    };
     hooks.sendHealth = [this](const HealthSummary& summary) { m_membership->sendHealth(summary, currentInstant()); };
     hooks.changed = [this, upstream](UpstreamState from, UpstreamState to, double severity) {
         onEndpointChanged(upstream, from, to, severity);
@@ -268,7 +273,8 @@
             continue;
         }
         if (change.event == MemberEvent::SelfSuperseded) {
-            log(LogLevel::Error, "node.superseded", { { "node", m_settings.nodeName }, { "by", toString(change.incarnation) } });
+            log(LogLevel::Error, "node.superseded",
+                { { "node", m_settings.nodeName }, { "by", toString(change.incarnation) } });
             m_task.post([this] { stop([this] { m_task.stop(); }); });
             continue;
         }
@@ -344,7 +350,8 @@
     if (supervisor && supervisor->announcement().service != announcement.service)
         return Error { ErrorCode::Conflict, "announce", announcement.name, "announced before with another service" };
     if (!supervisor) {
-        supervisor = std::make_unique<Supervisor>(announcement, m_incarnation, m_store.get(), supervisorHooks(announcement.name));
+        supervisor = std::make_unique<Supervisor>(
+            announcement, m_incarnation, m_store.get(), supervisorHooks(announcement.name));
         if (m_routes)
             supervisor->configure(m_routes->service(announcement.service));
     }
@@ -396,7 +403,7 @@
         if ((!result && !isAbsent) || (result && result.value().value == value))
             return;
         uint64_t version = result ? result.value().version : 0;
-        m_store->put(seedsKind, name, value, version, [](const Result<uint64_t>&) { });
+        m_store->put(seedsKind, name, value, version, [](const Result<uint64_t>&) {});
     });
 }
 
@@ -421,7 +428,8 @@
     audit(AuditEventKind::NodeStopped, "", m_settings.nodeName, "every request in flight has ended");
     auto end = [this](bool isFlushed) {
         log(isFlushed ? LogLevel::Info : LogLevel::Warning, "node.stopped",
-            { { "node", m_settings.nodeName }, { "audit_events_lost", m_audit ? m_audit->bufferedEvents() : size_t { 0 } } });
+            { { "node", m_settings.nodeName },
+                { "audit_events_lost", m_audit ? m_audit->bufferedEvents() : size_t { 0 } } });
         m_stopped();
     };
     if (m_audit)
@@ -448,7 +456,8 @@
             [&](const UnresolvedOperation& operation) { return id && operation.operation == *id; });
         if (it == m_unresolved.end())
             return Error { ErrorCode::NotFound, "operations.resolve", resolution.operation, "" };
-        audit(AuditEventKind::OperationResolved, it->service, resolution.operation, resolution.reason, resolution.actor);
+        audit(
+            AuditEventKind::OperationResolved, it->service, resolution.operation, resolution.reason, resolution.actor);
         m_unresolved.erase(it);
         m_node->postExecutor([services = m_services, operation = *id] {
             if (services->operations)
@@ -459,8 +468,8 @@
     return callbacks;
 }
 
-void ControlPlane::audit(AuditEventKind kind, const std::string& service, const std::string& subject, const std::string& reason,
-    const std::string& actor)
+void ControlPlane::audit(AuditEventKind kind, const std::string& service, const std::string& subject,
+    const std::string& reason, const std::string& actor)
 {
     if (!m_audit)
         return;
@@ -482,9 +491,9 @@
     Json members = Json::array();
     m_membership->forEach([&](const NodeRecord& record) { members.push_back(toJson(record)); });
     Json status { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
-        { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() }, { "ready", m_configuration->isReady() },
-        { "stopping", m_isStopping }, { "configuration", documents }, { "unresolvedOperations", m_unresolved.size() },
-        { "members", members } };
+        { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() },
+        { "ready", m_configuration->isReady() }, { "stopping", m_isStopping }, { "configuration", documents },
+        { "unresolvedOperations", m_unresolved.size() }, { "members", members } };
     return status.dump();
 }
 
@@ -505,14 +514,19 @@
     const MembershipCounters& gossip = m_membership->counters();
     set("gossip_sent_bytes", "Bytes of gossip sent since the start.", static_cast<double>(gossip.bytes));
     set("gossip_sent_count", "Gossip datagrams sent since the start.", static_cast<double>(gossip.messages));
-    set("gossip_dropped_count", "Datagrams dropped as invalid or replayed.", static_cast<double>(m_gossip->drops().total()));
-    set("members_live_count", "Members alive or suspected, this node included.", static_cast<double>(m_membership->liveCount()));
-    set("operations_unresolved_count", "Operations whose caller may not know the outcome.", static_cast<double>(m_unresolved.size()));
+    set("gossip_dropped_count", "Datagrams dropped as invalid or replayed.",
+        static_cast<double>(m_gossip->drops().total()));
+    set("members_live_count", "Members alive or suspected, this node included.",
+        static_cast<double>(m_membership->liveCount()));
+    set("operations_unresolved_count", "Operations whose caller may not know the outcome.",
+        static_cast<double>(m_unresolved.size()));
     set("configuration_store_calls_count", "Calls to the store for configuration since the start.",
         static_cast<double>(m_configuration->storeCalls()));
     if (m_audit) {
-        set("audit_buffered_count", "Audit events not yet in the store.", static_cast<double>(m_audit->bufferedEvents()));
-        set("audit_dropped_count", "Audit events lost to the bound of the buffer.", static_cast<double>(m_audit->droppedEvents()));
+        set("audit_buffered_count", "Audit events not yet in the store.",
+            static_cast<double>(m_audit->bufferedEvents()));
+        set("audit_dropped_count", "Audit events lost to the bound of the buffer.",
+            static_cast<double>(m_audit->droppedEvents()));
     }
     return m_metrics.print();
 }
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -100,7 +100,7 @@
     WatchRole m_role = WatchRole::None;
     bool m_candidatesChanged = false;
     bool m_isStopping = false;
-    Instant m_nextSeeds { };
+    Instant m_nextSeeds {};
     std::function<void()> m_stopped;
     SourceHandle m_timer;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -67,8 +67,8 @@
         worker.task = std::make_unique<Task>(fmt::format("entry-{}", i), Task::Thread::New);
         worker.task->start();
         runOn(*worker.task, [&] {
-            worker.entry = std::make_unique<EntryServer<Balancer>>(
-                *worker.task, m_settings, m_identity, m_makeEntryHooks ? m_makeEntryHooks() : EntryHooks {}, Balancer(m_settings.location, randomId().low));
+            worker.entry = std::make_unique<EntryServer<Balancer>>(*worker.task, m_settings, m_identity,
+                m_makeEntryHooks ? m_makeEntryHooks() : EntryHooks {}, Balancer(m_settings.location, randomId().low));
             auto port = worker.entry->listen(m_settings.callerListen.host, m_callerPort);
             if (port)
                 m_callerPort = port.value();
--- a/src/node/OperationService.h
+++ b/src/node/OperationService.h
@@ -6,8 +6,8 @@
 #include "core/OperationTable.h"
 #include "Executor.h"
 #include "FleetAuth.h"
-#include "Task.h"
 #include "RequestFingerprint.h"
+#include "Task.h"
 
 namespace Gooseberrymill {
 
--- a/src/node/UpstreamSupervisor.h
+++ b/src/node/UpstreamSupervisor.h
@@ -51,7 +51,7 @@
     void configure(const Service* service)
     {
         m_controller.setFloorSlots(service ? service->floorSlots : UINT32_MAX);
-        DetectionPolicy policy = service ? service->detection : DetectionPolicy { };
+        DetectionPolicy policy = service ? service->detection : DetectionPolicy {};
         if (policy != m_policy) {
             m_policy = policy;
             HealthMonitorOptions options;
@@ -75,10 +75,10 @@
         if (announcement.state == UpstreamState::Ready && m_condition.state() == UpstreamState::Cold) {
             m_condition.started(now);
             m_monitor.setCold(false, now);
-            handle(UpstreamReady { }, now);
+            handle(UpstreamReady {}, now);
         }
         if (announcement.state == UpstreamState::Draining && before != UpstreamState::Draining)
-            handle(UpstreamDraining { }, now);
+            handle(UpstreamDraining {}, now);
         update(now);
     }
 
@@ -116,7 +116,7 @@
         m_condition.restarted(now);
         m_monitor.reset(now);
         m_monitor.setCold(true, now);
-        handle(UpstreamCold { }, now);
+        handle(UpstreamCold {}, now);
     }
 
     // Brings a fresh condition to the state that the upstream last reported.
@@ -141,8 +141,8 @@
         handle(ViewChanged { m_hooks.views(service) }, now);
         handle(VerdictChanged { m_condition.wantsEjection(), m_monitor.severity() }, now);
         if (m_condition.isProbationOver(now))
-            handle(ProbationOver { }, now);
-        handle(Tick { }, now);
+            handle(ProbationOver {}, now);
+        handle(Tick {}, now);
     }
 
     void handle(const EjectionEvent& event, Instant now)
@@ -259,8 +259,8 @@
     UpstreamState m_state = UpstreamState::Gone;
     std::string m_address;
     std::optional<UpstreamRecord> m_published;
-    Instant m_lastHeartbeat { };
-    Instant m_nextEvaluation { };
+    Instant m_lastHeartbeat {};
+    Instant m_nextEvaluation {};
     std::shared_ptr<bool> m_alive;
 };
 
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -290,12 +290,13 @@
     std::atomic<int> settled = 0;
     std::promise<void> stored;
     FleetOptions options { .nodes = 1, .slots = 1 };
-    options.executorHooks.operations.begin = [](const RequestHead&, std::string_view,
-                                                 const std::function<void(GateDecision)>& decide) { decide({}); };
-    options.executorHooks.operations.settle = [&](const RequestHead&, const std::shared_ptr<const StoredResponse>& r, bool) {
-        if (r && ++settled == 1)
-            stored.set_value();
-    };
+    options.executorHooks.operations.begin
+        = [](const RequestHead&, std::string_view, const std::function<void(GateDecision)>& decide) { decide({}); };
+    options.executorHooks.operations.settle
+        = [&](const RequestHead&, const std::shared_ptr<const StoredResponse>& r, bool) {
+              if (r && ++settled == 1)
+                  stored.set_value();
+          };
     TestFleet fleet(options);
     {
         HttpCaller caller(fleet.port());
--- a/tests/TestFleet.h
+++ b/tests/TestFleet.h
@@ -121,7 +121,8 @@
         if (options.adjust)
             options.adjust(settings);
         member.upstream = std::make_unique<UpstreamStandIn>();
-        member.node = std::make_unique<Node>(settings, options.executorHooks, [hooks = options.entryHooks] { return hooks; });
+        member.node
+            = std::make_unique<Node>(settings, options.executorHooks, [hooks = options.entryHooks] { return hooks; });
         auto error = member.node->start();
         g_assert(!error);
         member.endpoint
