--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,11 +1,13 @@
 #!/usr/bin/env python3
 """Starts a small fleet on loopback, sends one request of each kind, prints what happened, stops everything.
 
-Usage: scripts/demo.sh builds first and then runs this. Exit code 0: every request had the expected result.
+Usage: scripts/demo.sh builds first and then runs this. With --page FILE it also runs the commands in the `sh`
+blocks of that page against the fleet. Exit code 0: every request and command had the expected result.
 """
 
 import json
 import os
+import re
 import secrets
 import signal
 import subprocess
@@ -209,13 +211,29 @@
     report.show("same token again: same answer", call("POST", url[3] + "/bayaran/payouts", payout, token), 200)
 
 
+def run_page(page, fleet, report):
+    """Runs each line of the page's `sh` blocks in the repository, with the addresses of the fleet."""
+    environment = dict(os.environ, STORE=fleet.store, ADMIN=fleet.nodes[0]["admin"], CALLERS=fleet.nodes[0]["url"])
+    with open(os.path.join(ROOT, page), encoding="utf-8") as file:
+        blocks = re.findall(r"^```sh\n(.*?)^```", file.read(), re.MULTILINE | re.DOTALL)
+    for line in (line for block in blocks for line in block.splitlines() if line.strip()):
+        result = subprocess.run(["bash", "-c", line], cwd=ROOT, env=environment, capture_output=True, text=True, check=False)
+        report.failures += result.returncode != 0
+        print(f"{'ok  ' if not result.returncode else 'FAIL'} {line}")
+        if result.returncode:
+            print(result.stdout + result.stderr)
+
+
 def main():
     report = Report()
+    pages = [sys.argv[i + 1] for i, it in enumerate(sys.argv[:-1]) if it == "--page"]
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(folder)
         try:
             fleet.start()
             send_requests(fleet.nodes, report)
+            for page in pages:
+                run_page(page, fleet, report)
         finally:
             codes = fleet.stop()
     print("exit codes after SIGTERM:", ", ".join(f"{name} {code}" for name, code in codes.items()))
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,4 +6,4 @@
 scripts/install-dependencies.sh
 cmake --preset default >/dev/null
 cmake --build --preset default -j "$(nproc)"
-exec python3 scripts/demo.py
+exec python3 scripts/demo.py "$@"
--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -2,7 +2,7 @@
 # Installs every package that building, testing and linting need, from Debian 12.
 set -euo pipefail
 packages=(
-    g++ cmake ninja-build pkg-config clang-format clang-tidy ccache python3
+    g++ cmake ninja-build pkg-config clang-format clang-tidy ccache python3 curl
     libglib2.0-dev libsoup-3.0-dev libcereal-dev libboost-dev libboost-test-dev libgflags-dev libfmt-dev
     libtomlplusplus-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev
 )
