--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -11,6 +11,7 @@
 constexpr size_t ringCandidates = 16;
 constexpr uint32_t maxEntryWeight = 8; // bounds the estimate of what other entries sent since a report
 constexpr Duration stateTrust = 3s; // a report's state overrules the candidate list for this long
+constexpr Duration backlogLifetime = 250ms; // a queue seen longer ago may be gone
 constexpr uint64_t ringSeed = 0; // the same at every entry
 
 uint64_t hashText(std::string_view text, uint64_t seed) { return XXH3_64bits_withSeed(text.data(), text.size(), seed); }
@@ -124,13 +125,16 @@
     return std::max(listed, reported);
 }
 
-// Reported requests of others fade out as the report ages; the entry's own are always exact.
+// Reported requests of others fade out as the report ages; the entry's own are always exact. While own
+// requests are outstanding the report keeps its weight: an upstream whose slots are all held by long
+// requests sends no newer one.
 double Balancer::knownLoad(const UpstreamLoad& load, Instant now) const
 {
     if (!load.isReported)
         return load.outstanding;
     double age = static_cast<double>((now - load.reportedAt).count());
-    double weight = std::max(0.0, 1 - age / static_cast<double>(m_options.reportLifetime.count()));
+    double weight
+        = load.outstanding ? 1.0 : std::max(0.0, 1 - age / static_cast<double>(m_options.reportLifetime.count()));
     uint32_t reported = load.report.running + load.report.queued;
     uint32_t others = reported - std::min(reported, load.outstandingAtReport);
     return load.outstanding + weight * others;
@@ -255,7 +259,7 @@
             return;
         auto it = m_loads.find(candidate.upstream);
         Member member { &candidate, it == m_loads.end() ? &unknownLoad : it->second.get() };
-        if (!isEligible(member, request, Pass::Free, now))
+        if (!isEligible(member, request, Pass::Free, now) || knownLoad(*member.load, now) + 1 > limitOf(member) * 0.75)
             return;
         best = &candidate;
         highest = weight;
@@ -282,6 +286,16 @@
         if (const Candidate* candidate = chooseAffine(view, request, now))
             return candidate;
     }
+    for (size_t i = 0; i < regionTier; ++i) {
+        if (const Candidate* candidate = chooseInTier(view.tiers[i], request, Pass::Free, now))
+            return candidate;
+    }
+    if (!isRegionBacklogged(view, request, now)) {
+        for (size_t i = 0; i < regionTier; ++i) {
+            if (const Candidate* candidate = chooseInTier(view.tiers[i], request, Pass::Full, now))
+                return candidate;
+        }
+    }
     for (Pass pass : { Pass::Free, Pass::Degraded, Pass::Full, Pass::BadPath }) {
         for (const std::vector<Member>& tier : view.tiers) {
             if (const Candidate* candidate = chooseInTier(tier, request, pass, now))
@@ -291,6 +305,24 @@
     return nullptr;
 }
 
+// Reports are too old at low rates to tell that every slot is taken at this moment. Requests that wait at
+// each upstream of the region do tell it, and a short wait costs less than the way to another region.
+bool Balancer::isRegionBacklogged(const ServiceView& view, const BalanceRequest& request, Instant now) const
+{
+    auto hasBacklog = [&](const Member& member) {
+        const UpstreamLoad& load = *member.load;
+        bool isFresh = load.isReported && now - load.reportedAt <= backlogLifetime;
+        return (isFresh && load.report.queued) || load.outstanding > static_cast<uint32_t>(limitOf(member));
+    };
+    for (size_t i = 0; i < regionTier; ++i) {
+        for (const Member& member : view.tiers[i]) {
+            if (isEligible(member, request, Pass::Full, now) && !hasBacklog(member))
+                return false;
+        }
+    }
+    return true;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Evidence
 //-----------------------------------------------------------------------------
--- a/src/core/Balancer.h
+++ b/src/core/Balancer.h
@@ -60,8 +60,9 @@
 
 // Power of two choices in the nearest tier (data centre, region, other regions) that has a free slot.
 //
-// - A farther tier is used only when every nearer upstream is full. Degraded upstreams come after the
-//   healthy ones of all tiers. When all are full, the request goes to the nearest tier and queues there.
+// - A farther tier is used only when every nearer upstream is full, another region only when requests
+//   also wait at each of them. Degraded upstreams come after the healthy ones of all tiers. When all are full, the
+//   request goes to the nearest tier and queues there.
 // - Each entry considers a subset of each tier, chosen by rendezvous hashing with its own seed, so that
 //   the cost of a choice and the state do not grow with the fleet.
 // - Affinity is by rendezvous hashing over the entry's region and does not depend on the seed.
@@ -81,6 +82,7 @@
 
 private:
     static constexpr size_t tierCount = 3;
+    static constexpr size_t regionTier = 2; // first tier outside the own region
 
     struct UpstreamLoad {
         LoadReport report;
@@ -136,6 +138,7 @@
     const Candidate* chooseInTier(
         const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now);
     const Candidate* scanTier(const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now);
+    bool isRegionBacklogged(const ServiceView& view, const BalanceRequest& request, Instant now) const;
     const Candidate* chooseAffine(ServiceView& view, const BalanceRequest& request, Instant now);
     bool passesRamp(const Candidate& candidate);
 
