Estimate slots taken since a load report in the balancer

Cause: an upstream counted as free until its last report said otherwise. With stragglers that nothing tells beforehand, several entries filled it within one report interval.

Change: up to two slots count as taken by other entries, one for each own request since the report and one when the report is older than 100 ms.

--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -10,6 +10,8 @@
 constexpr size_t exactRendezvousLimit = 64; // larger services take candidates from the ring
 constexpr size_t ringCandidates = 16;
 constexpr uint32_t maxEntryWeight = 8; // bounds the estimate of what other entries sent since a report
+constexpr uint32_t maxUnreported = 2; // slots assumed to be taken since a report
+constexpr Duration freshReport = 100ms; // an older report probably misses a request
 constexpr Duration stateTrust = 3s; // a report's state overrules the candidate list for this long
 constexpr Duration backlogLifetime = 250ms; // a queue seen longer ago may be gone
 constexpr uint64_t ringSeed = 0; // the same at every entry
@@ -146,10 +148,20 @@
     return std::max(1U, reported ? reported : member.candidate->slots);
 }
 
+// Slots that other entries have probably taken since the report. Without them, stragglers that filled an
+// upstream after its last report keep getting company.
+uint32_t Balancer::unreportedLoad(const UpstreamLoad& load, Instant now) const
+{
+    if (m_options.entryCount <= 1 || !load.isReported)
+        return 0;
+    bool isOld = load.report.running && now - load.reportedAt > freshReport;
+    return std::min(maxUnreported, load.sinceReport + (isOld ? 1U : 0U));
+}
+
 bool Balancer::isFull(const Member& member, Instant now) const
 {
     double share = std::clamp(member.candidate->share, 0.0, 1.0);
-    return knownLoad(*member.load, now) >= std::max(1.0, share * limitOf(member));
+    return knownLoad(*member.load, now) + unreportedLoad(*member.load, now) >= std::max(1.0, share * limitOf(member));
 }
 
 // Other entries choose on the same stale reports. What this entry sent since the report stands for what
--- a/src/core/Balancer.h
+++ b/src/core/Balancer.h
@@ -133,6 +133,7 @@
     bool isEligible(const Member& member, const BalanceRequest& request, Pass pass, Instant now) const;
     double knownLoad(const UpstreamLoad& load, Instant now) const;
     static double limitOf(const Member& member);
+    uint32_t unreportedLoad(const UpstreamLoad& load, Instant now) const;
     bool isFull(const Member& member, Instant now) const;
     double score(const Member& member, Instant now) const;
     const Candidate* chooseInTier(
--- a/src/core/Trace.cpp
+++ b/src/core/Trace.cpp
@@ -578,8 +578,6 @@
         case Scenario::HiddenStragglers:
             return;
         case Scenario::SlowUpstream:
-            change(fault, victim, ChangeKind::Slow, 5);
-            break;
         case Scenario::PeakWithSlow:
             change(fault, victim, ChangeKind::Slow, 5);
             break;
