--- a/src/node/Verbs.cpp
+++ b/src/node/Verbs.cpp
@@ -1,9 +1,11 @@
 #include "Verbs.h"
 
 #include "AuditTrail.h"
+#include "BenchCommand.h"
 #include "ConfigurationFile.h"
 #include "ConfigurationPublisher.h"
 #include "NodeMain.h"
+#include "ReplayCommand.h"
 #include "SettingsFile.h"
 #include "StoreClient.h"
 #include "Task.h"
@@ -19,6 +21,11 @@
 DEFINE_string(expect, "", "apply: version that the document must still have; 0: it must not exist.");
 DEFINE_string(admin, "", "status: admin address of a node, \"http://ip:port\".");
 DEFINE_string(service, "", "audit: show events of this service only.");
+DEFINE_uint64(seed, 1, "replay, bench: first seed of generated traces and of the policies.");
+DEFINE_uint32(seeds, 1, "bench: number of consecutive seeds; figures are the worst of them.");
+DEFINE_bool(csv, false, "bench: print the table as comma-separated values.");
+DEFINE_bool(baseline, false, "replay: use the baselines in place of the policies.");
+DEFINE_string(write_trace, "", "replay: also write the trace to this file.");
 
 namespace Gooseberrymill {
 
@@ -225,9 +232,30 @@
     return exitSuccess;
 }
 
-// -------- verbs without an implementation yet
+// -------- replay, bench
 
-int reportUnsupported(std::span<const std::string>) { return fail("this verb is not supported by this build"); }
+int replay(std::span<const std::string> arguments)
+{
+    ReplayCommandOptions options;
+    options.trace = arguments.front();
+    options.seed = FLAGS_seed;
+    options.baseline = FLAGS_baseline;
+    options.writeTrace = FLAGS_write_trace;
+    return runReplay(options);
+}
+
+int bench(std::span<const std::string> arguments)
+{
+    std::string what = arguments.empty() ? "policies" : arguments.front();
+    if (what != "policies" && what != "cost")
+        return refuseUsage("bench takes policies or cost");
+    BenchOptions options;
+    options.seed = FLAGS_seed;
+    options.seeds = FLAGS_seeds;
+    options.csv = FLAGS_csv;
+    options.costOnly = what == "cost";
+    return runBench(options);
+}
 
 const std::array<Verb, 8> table { {
     { "serve", "--settings FILE", "Runs a node.", { "settings" }, 0, 0, &serve },
@@ -237,8 +265,10 @@
         { "store", "author", "expect" }, 1, 1, &apply },
     { "status", "--admin URL", "Prints the status of a node as JSON.", { "admin" }, 0, 0, &status },
     { "audit", "--store URL [--service NAME]", "Prints the audit trail.", { "store", "service" }, 0, 0, &showAudit },
-    { "replay", "TRACE", "Replays a recorded trace.", {}, 1, 1, &reportUnsupported },
-    { "bench", "", "Measures the relay path on this machine.", {}, 0, 0, &reportUnsupported },
+    { "replay", "TRACE", "Replays a trace file, or a generated trace DEPLOYMENT:SCENARIO, and prints the outcomes.",
+        { "seed", "baseline", "write_trace" }, 1, 1, &replay },
+    { "bench", "[policies|cost]", "Measures the policies beside their baselines, or the cost of a decision.",
+        { "seed", "seeds", "csv" }, 0, 1, &bench },
 } };
 
 } // namespace
