--- a/src/core/Basics.h
+++ b/src/core/Basics.h
@@ -179,10 +179,10 @@
 std::error_code makeErrorCode(ErrorCode);
 
 // Hook found by argument-dependent lookup from std::error_code.
-inline std::error_code make_error_code(ErrorCode ec)
+inline std::error_code make_error_code(ErrorCode ec) // NOLINT(readability-identifier-naming)
 {
     return makeErrorCode(ec);
-} // NOLINT(readability-identifier-naming)
+}
 
 } // namespace Gooseberrymill
 
--- a/src/core/OperationTable.h
+++ b/src/core/OperationTable.h
@@ -72,8 +72,8 @@
 
 struct OperationLimits {
     size_t maxOperations = 1'000'000; // beyond, new operations are refused
-    size_t maxAnswerBytes = 256 * 1024; // a larger answer is passed on but not recorded
-    size_t maxRecordedBytes = 32 * 1024 * 1024; // all recorded answers; the oldest are evicted first
+    size_t maxAnswerBytes = size_t { 256 } * 1024; // a larger answer is passed on but not recorded
+    size_t maxRecordedBytes = size_t { 32 } * 1024 * 1024; // all recorded answers; the oldest are evicted first
     Duration tokenLifetime = 10min; // from issue to the last request that may start it
     Duration maxClockSkew = 5min; // between callers' and executors' wall clocks
     Duration abandonedTokenAge = 1h; // an unused token is forgotten after this time
--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -43,7 +43,7 @@
     std::string bytes; // at most maxChunkBytes
     template <class Archive> void serialize(Archive& archive) { archive(bytes); }
 };
-constexpr size_t maxChunkBytes = 64 * 1024;
+constexpr size_t maxChunkBytes = size_t { 64 } * 1024;
 
 struct BodyEnd {
     template <class Archive> void serialize(Archive&) { }
--- a/src/core/Replay.h
+++ b/src/core/Replay.h
@@ -269,8 +269,8 @@
     {
         Request request;
         request.arrival = &arrival;
-        request.entry
-            = arrival.dataCentre * m_options.entriesPerDataCentre + m_random() % m_options.entriesPerDataCentre;
+        request.entry = size_t { arrival.dataCentre } * m_options.entriesPerDataCentre
+            + m_random() % m_options.entriesPerDataCentre;
         m_requests.push_back(std::move(request));
         schedule(m_now + m_header.callerDelay, Kind::EntryArrival, m_requests.size() - 1);
         ++m_result.classes[static_cast<size_t>(arrival.workClass)].offered;
--- a/src/node/AuditTrail.h
+++ b/src/node/AuditTrail.h
@@ -103,9 +103,9 @@
     }
 
     // Writes everything that is buffered; `done` gets false when the store failed and events are left.
-    void flush(std::function<void(bool)> done)
+    void flush(const std::function<void(bool)>& done)
     {
-        m_state->onFlushed = std::move(done);
+        m_state->onFlushed = done;
         if (!m_state->isWriting)
             writeBatch(m_state);
     }
--- a/src/node/ClaimWriter.h
+++ b/src/node/ClaimWriter.h
@@ -61,7 +61,7 @@
 
     void start(const ReadBucket& read)
     {
-        m_store.get(claimsKind, read.name, guarded([this, name = read.name](Result<StoredObject> result) {
+        m_store.get(claimsKind, read.name, guarded([this, name = read.name](const Result<StoredObject>& result) {
             m_ledger.readDone(name, parse(name, result), m_clock());
             carryOut();
         }));
@@ -71,7 +71,7 @@
     {
         const ClaimBucket& bucket = write.bucket;
         m_store.put(claimsKind, bucket.name, toJson(bucket), bucket.version,
-            guarded([this, name = bucket.name](Result<uint64_t> result) {
+            guarded([this, name = bucket.name](const Result<uint64_t>& result) {
                 m_ledger.writeDone(name, result, m_clock());
                 carryOut();
             }));
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -78,7 +78,7 @@
         std::string address = m_hooks.relayAddress(ask.peer);
         if (address.empty())
             return m_sync.peerFailed(ask.peer, currentInstant());
-        m_client.query(address, ask.query, guarded([this, peer = ask.peer](Result<RelayMessage> result) {
+        m_client.query(address, ask.query, guarded([this, peer = ask.peer](const Result<RelayMessage>& result) {
             run([&](Instant now) {
                 auto* reply = result ? std::get_if<ConfigurationReply>(&result.value()) : nullptr;
                 if (reply)
@@ -93,7 +93,7 @@
     {
         if (!m_store)
             return m_sync.storeFailed(currentInstant());
-        m_store->list(configurationKind, guarded([this](Result<std::vector<StoredObject>> result) {
+        m_store->list(configurationKind, guarded([this](const Result<std::vector<StoredObject>>& result) {
             run([&](Instant now) {
                 if (!result)
                     return m_sync.storeFailed(now);
@@ -112,7 +112,7 @@
         if (!m_store)
             return;
         m_store->watch(configurationKind, watch.name, watch.version, watch.patience,
-            guarded([this, name = watch.name](Result<StoredObject> result) {
+            guarded([this, name = watch.name](const Result<StoredObject>& result) {
                 run([&](Instant now) {
                     m_sync.watchAnswered(name, result ? toRecord(result.value()) : std::nullopt, now);
                 });
--- a/src/node/ConfigurationPublisher.h
+++ b/src/node/ConfigurationPublisher.h
@@ -71,7 +71,8 @@
     void read(std::function<void(Result<StoredObject>)> next)
     {
         m_store.get(configurationKind, m_name,
-            [self = this->shared_from_this(), next = std::move(next)](Result<StoredObject> result) { next(result); });
+            [self = this->shared_from_this(), next = std::move(next)](
+                const Result<StoredObject>& result) { next(result); });
     }
 
     static bool isNotFound(const Result<StoredObject>& result)
--- a/src/node/UpstreamSupervisor.h
+++ b/src/node/UpstreamSupervisor.h
@@ -176,7 +176,7 @@
     {
         if (!m_store)
             return;
-        m_store->get(rosterKind, m_announcement.service, guarded([this, action](Result<StoredObject> result) {
+        m_store->get(rosterKind, m_announcement.service, guarded([this, action](const Result<StoredObject>& result) {
             StoreReply storeReply;
             storeReply.call = action.call;
             storeReply.roster.service = m_announcement.service;
@@ -197,7 +197,7 @@
         if (!m_store)
             return;
         m_store->put(rosterKind, m_announcement.service, rosterToJson(action.roster), action.ifVersion,
-            guarded([this, call = action.call](Result<uint64_t> result) {
+            guarded([this, call = action.call](const Result<uint64_t>& result) {
                 StoreReply storeReply;
                 storeReply.call = call;
                 if (result)
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -172,6 +172,7 @@
         }
     };
     std::vector<std::thread> pool;
+    pool.reserve(threads);
     for (int i = 0; i < threads; ++i)
         pool.emplace_back(run, i);
     for (auto& thread : pool)
