Let an admission queue be reconfigured and budgets follow their service

Cause: a running queue kept the policy and the slots that it was made with, and entry retry budgets used the default share whatever the service declares.

Change: AdmissionQueue::reconfigure(slots, policy); RetryBudgets gives each service a budget with its present share.

Result: AdmissionQueueTests and RetryBudgetTests pass with the new cases reconfigurationAppliesToARunningQueue and budgetsFollowTheShareOfTheirService.

--- a/src/core/AdmissionQueue.cpp
+++ b/src/core/AdmissionQueue.cpp
@@ -69,6 +69,14 @@
 {
 }
 
+void ConcurrencyLimit::setSlots(uint32_t slots)
+{
+    bool isReduced = m_limit < m_slots;
+    m_slots = std::max(1U, slots);
+    m_limit = isReduced ? std::min(m_limit, m_slots) : m_slots;
+    m_levels.resize(m_slots + 1);
+}
+
 void ConcurrencyLimit::record(uint32_t concurrency, double logRatio, Instant now)
 {
     Level& level = m_levels[std::clamp(concurrency, 1U, m_slots)];
@@ -134,6 +142,12 @@
 {
 }
 
+void AdmissionQueue::reconfigure(uint32_t slots, const AdmissionPolicy& policy)
+{
+    m_policy = policy;
+    m_limit.setSlots(slots);
+}
+
 double AdmissionQueue::weightOf(size_t index) const { return std::max(1U, m_policy.weights[index]); }
 
 Duration AdmissionQueue::expectedTime(uint32_t workKey, Instant now) const
--- a/src/core/AdmissionQueue.h
+++ b/src/core/AdmissionQueue.h
@@ -51,6 +51,7 @@
 
     // A response: `logRatio` is the logarithm of its service time against the usual one of its work.
     void record(uint32_t concurrency, double logRatio, Instant now);
+    void setSlots(uint32_t slots); // keeps a limit that was reduced below both numbers
     uint32_t value() const { return m_limit; }
 
 private:
@@ -79,6 +80,9 @@
     explicit AdmissionQueue(const Service& service);
     AdmissionQueue(uint32_t slots, const AdmissionPolicy& policy);
 
+    // Takes effect for what is waiting too. Requests beyond a lower limit run on or wait on.
+    void reconfigure(uint32_t slots, const AdmissionPolicy& policy);
+
     AdmissionDecision offer(const AdmissionRequest& request, Instant now);
     void finish(TicketId ticket, Duration length, bool completed, Instant now);
     bool cancel(TicketId ticket, Instant now);
--- a/src/core/RetryBudget.h
+++ b/src/core/RetryBudget.h
@@ -3,6 +3,8 @@
 
 #include "Configuration.h"
 
+#include <map>
+
 namespace Gooseberrymill {
 
 //-----------------------------------------------------------------------------
@@ -21,6 +23,7 @@
     void offered(Instant now); // a caller's request arrived
     bool take(Instant now); // true: one more attempt may be made, and it was counted
     double tokens(Instant now);
+    void setShare(double share) { m_share = share; } // applies to what is offered and held from now on
 
 private:
     static constexpr size_t bucketCount = 10;
@@ -35,6 +38,20 @@
     int64_t m_second = 0;
 };
 
+// The budgets of all services of one entry worker, each with the share that its service is configured with now.
+class RetryBudgets {
+public:
+    RetryBudget& of(const Service& service)
+    {
+        RetryBudget& budget = m_budgets.try_emplace(service.name, service.retry.budgetShare).first->second;
+        budget.setShare(service.retry.budgetShare);
+        return budget;
+    }
+
+private:
+    std::map<std::string, RetryBudget> m_budgets;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] AttemptPolicy
 //-----------------------------------------------------------------------------
--- a/tests/AdmissionQueueTests.cpp
+++ b/tests/AdmissionQueueTests.cpp
@@ -370,3 +370,28 @@
         RC_ASSERT(waiting.size() <= 5U);
     }
 }
+
+// Guards against a queue that keeps the slots and the policy it was made with when the configuration changes.
+BOOST_AUTO_TEST_CASE(reconfigurationAppliesToARunningQueue)
+{
+    AdmissionQueue queue(2, {});
+    for (TicketId ticket : { 1U, 2U, 3U, 4U })
+        queue.offer(request(ticket, WorkClass::Interactive, at(1h)), at(0s));
+    BOOST_TEST(queue.limit() == 2U);
+    AdmissionPolicy policy;
+    policy.queueLimit = 2;
+    queue.reconfigure(4, policy);
+    BOOST_TEST(queue.limit() == 4U);
+    BOOST_TEST((takeAll(queue, at(0s)) == std::vector<TicketId> { 3, 4 }));
+    queue.reconfigure(1, policy);
+    BOOST_TEST(queue.limit() == 1U);
+    for (TicketId ticket : { 5U, 6U })
+        BOOST_TEST(
+            (queue.offer(request(ticket, WorkClass::Interactive, at(1h)), at(0s)).verdict == AdmissionVerdict::Queued));
+    BOOST_TEST((queue.offer(request(7, WorkClass::Interactive, at(1h)), at(0s)).reason == RefusalReason::QueueFull));
+    for (TicketId ticket : { 1U, 2U, 3U })
+        queue.finish(ticket, 10ms, true, at(10ms));
+    BOOST_TEST(takeAll(queue, at(10ms)).empty()); // one still runs
+    queue.finish(4, 10ms, true, at(10ms));
+    BOOST_TEST((takeAll(queue, at(10ms)) == std::vector<TicketId> { 5 }));
+}
--- a/tests/RetryBudgetTests.cpp
+++ b/tests/RetryBudgetTests.cpp
@@ -166,3 +166,28 @@
     AttemptPolicy unfunded(policy);
     BOOST_TEST(!unfunded.mayHedge(slowRead(), at(1s)));
 }
+
+// Guards against a budget that keeps a default share, or the share of an earlier configuration.
+BOOST_AUTO_TEST_CASE(budgetsFollowTheShareOfTheirService)
+{
+    RetryBudgets budgets;
+    Service wide;
+    wide.name = "wide";
+    wide.retry.budgetShare = 0.5;
+    Service narrow;
+    narrow.name = "narrow";
+    narrow.retry.budgetShare = 0.01;
+    for (int i = 0; i < 10; ++i) {
+        budgets.of(wide).offered(at(1s));
+        budgets.of(narrow).offered(at(1s));
+    }
+    int granted = 0;
+    while (budgets.of(wide).take(at(1s)))
+        ++granted;
+    BOOST_TEST(granted == 5);
+    BOOST_TEST(!budgets.of(narrow).take(at(1s)));
+    narrow.retry.budgetShare = 0.2; // a new configuration
+    for (int i = 0; i < 10; ++i)
+        budgets.of(narrow).offered(at(1s));
+    BOOST_TEST(budgets.of(narrow).take(at(1s)));
+}
