State the outcome of the operation in refusals; return operations of requests that end

Cause: a refusal said "not run" for a key or token although an earlier request of the operation may have run at another executor, and for a request whose first attempt had reached an upstream. An operation stayed owned when its gate decided to let it run after the request had ended. An inquiry could not run an operation that its holder had open. Keys of one shard of claims went to different executors. Running queues and entry budgets kept settings of an earlier configuration. A request that ended after its upstream had come back reported the upstream as gone, so that entries avoided it for three seconds.

Change: outcomeOf() holds the rule; Refusal and the JSON error body carry `dispatched`, which also decides about another upstream. OperationGate::leave withdraws a waiting request, and a late decision to run is given back with finish(). An executor runs an inquiry that its table lets run. A holder that is gone after the store shows Ran gives "ran", reason answer-not-recorded. claimAffinity() is the affinity of keyed requests. Executor::setRoutes reconfigures running queues with the smaller of the announced and configured slots. Entry hooks get the Service. Jobs report the load of the upstream that has the name now. The forged refusal in RelayFramesTests is one byte longer, as the message is.

--- a/src/core/ClaimLedger.cpp
+++ b/src/core/ClaimLedger.cpp
@@ -42,6 +42,8 @@
     return static_cast<uint32_t>(operation.low % shards);
 }
 
+Id128 claimAffinity(const Id128& operation) { return { 0, claimShard(operation, ClaimSettings {}.shards) }; }
+
 std::string claimBucketName(std::string_view service, const Id128& operation, const ClaimSettings& settings)
 {
     auto time = uuidTime(operation);
--- a/src/core/ClaimLedger.h
+++ b/src/core/ClaimLedger.h
@@ -73,9 +73,13 @@
     Duration markDelay = 1s; // outcome marks wait this long for a claim to share the write with
 };
 
-// Shard of an operation; also the affinity that entries use, so that one executor writes a shard.
+// Shard of an operation.
 uint32_t claimShard(const Id128& operation, uint32_t shards);
 
+// Affinity of a keyed request: the same for all operations of a shard, so that one executor writes the objects of
+// a shard and conditional writes seldom conflict.
+Id128 claimAffinity(const Id128& operation);
+
 // Name of the object that holds the claim, "<service>.<shard>.<bucket>".
 std::string claimBucketName(std::string_view service, const Id128& operation, const ClaimSettings&);
 
--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -30,7 +30,7 @@
     OperationKind operationKind = OperationKind::None;
     Id128 operation;
     Id128 executor; // incarnation that must run it; zero: any
-    bool inquiry = false; // the operation is held there: return its outcome, never run it
+    bool inquiry = false; // the executor holds the operation: return its outcome; run it only if it is claimed and open
     uint64_t configurationDigest = 0;
     template <class Archive> void serialize(Archive& archive)
     {
@@ -64,13 +64,14 @@
     RefusalReason reason = RefusalReason::None;
     uint32_t retryAfterMs = 0;
     uint32_t runs = 0; // known runs of this request, for a query of death
+    bool dispatched = false; // this request may have reached an upstream, whatever became of its operation
     std::string step;
     std::string peer;
     Id128 holder; // with HeldElsewhere: the incarnation that holds the key
     LoadReport load;
     template <class Archive> void serialize(Archive& archive)
     {
-        archive(requestId, outcome, reason, retryAfterMs, runs, step, peer, holder, load);
+        archive(requestId, outcome, reason, retryAfterMs, runs, dispatched, step, peer, holder, load);
     }
 };
 
--- a/src/node/AttemptPlan.h
+++ b/src/node/AttemptPlan.h
@@ -23,10 +23,11 @@
 
     // An attempt ended without a response.
     // `bodyKept`: everything of the body that was sent can be sent again.
-    bool mayRetry(Outcome outcome, RefusalReason reason, bool bodyKept) const
+    // `dispatched`: the attempt may have reached an upstream.
+    bool mayRetry(bool dispatched, RefusalReason reason, bool bodyKept) const
     {
-        bool harmless = outcome == Outcome::NotRun && isElsewhereUseful(reason);
-        bool repeat = outcome == Outcome::Unknown && m_repeatable && isUpstreamFault(reason);
+        bool harmless = !dispatched && isElsewhereUseful(reason);
+        bool repeat = dispatched && m_repeatable && isUpstreamFault(reason);
         return (harmless || repeat) && bodyKept && m_attempts < m_maxAttempts && (!m_allowRetry || m_allowRetry());
     }
 
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -140,6 +140,7 @@
         services->operations->begin(head, body, std::move(decide));
     };
     gate.settle = [services = m_services](const RequestHead& head, std::shared_ptr<const StoredResponse> response,
+    gate.leave = [services = m_services](const RequestHead& head) { services->operations->leave(head); };
                       bool delivered) { services->operations->settle(head, response, delivered); };
     gate.finish = [services = m_services](
                       const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
@@ -184,13 +185,10 @@
 // Retry budgets are per entry worker, so that no state is shared; the shares add up to the fleet's bound.
 EntryHooks ControlPlane::entryHooks()
 {
-    auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
-    auto budgetOf = [budgets](const std::string& service) -> RetryBudget& {
-        return budgets->try_emplace(service, RetryPolicy {}.budgetShare).first->second;
-    };
+    auto budgets = std::make_shared<RetryBudgets>();
     EntryHooks hooks;
-    hooks.offered = [budgetOf](const std::string& service) { budgetOf(service).offered(currentInstant()); };
-    hooks.allowRetry = [budgetOf](const std::string& service) { return budgetOf(service).take(currentInstant()); };
+    hooks.offered = [budgets](const Service& service) { budgets->of(service).offered(currentInstant()); };
+    hooks.allowRetry = [budgets](const Service& service) { return budgets->of(service).take(currentInstant()); };
     hooks.configurationDigest = [this] { return m_digest.load(std::memory_order_relaxed); };
     return hooks;
 }
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -1,5 +1,7 @@
 #include "EntryExchange.h"
 
+#include "core/ClaimLedger.h"
+#include "core/RefusalOutcome.h"
 #include "FleetAuth.h"
 
 #include <algorithm>
@@ -203,10 +205,11 @@
     if (!readOperation())
         return;
     if (m_worker.m_hooks.offered)
-        m_worker.m_hooks.offered(m_match.service->name);
+        m_worker.m_hooks.offered(*m_match.service);
     auto allow = m_worker.m_hooks.allowRetry;
     m_plan.emplace(m_match.route->repeatable, m_match.service->retry.maxAttempts,
-        allow ? [allow, name = m_match.service->name] { return allow(name); } : std::function<bool()>());
+        allow ? [allow, routes = m_routes, service = m_match.service] { return allow(*service); }
+              : std::function<bool()>());
     attempt();
 }
 
@@ -314,7 +317,11 @@
 
 void EntryExchange::serveToken(std::string_view service)
 {
-    static const Route tokenRoute;
+    static const Route tokenRoute = [] {
+        Route route;
+        route.repeatable = true;
+        return route;
+    }();
     m_match.route = &tokenRoute;
     std::string_view method = soup_server_message_get_method(m_message.get());
     if (method != "POST" || service.empty()) {
@@ -371,7 +378,7 @@
         BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
             m_plan->tried() };
         if (m_head.operationKind == OperationKind::Key)
-            request.affinity = m_head.operation;
+            request.affinity = claimAffinity(m_head.operation);
         candidate = m_worker.m_balancer->choose(request, now);
     }
     if (candidate)
@@ -487,17 +494,25 @@
     m_gotHead = false;
     m_held.clear();
     Refusal refusal;
-    refusal.outcome = outcome == Outcome::NotRun ? outcome : outcomeAfterHead();
+    refusal.dispatched = outcome != Outcome::NotRun && mayBeDispatchedAfterHead();
     refusal.reason = RefusalReason::RelayFailed;
+    refusal.outcome = outcomeOf({ refusal.reason, refusal.dispatched, namesOperation() });
     refusal.step = error.step;
     refusal.peer = error.peer;
     settleAttempt(std::move(refusal));
 }
 
 // An executor streams the body of a repeatable request, and dispatches any other request only with its whole body.
-Outcome EntryExchange::outcomeAfterHead() const
+bool EntryExchange::mayBeDispatchedAfterHead() const { return m_match.route->repeatable || m_bodyDone; }
+
+// Also before the operation was read, and when its name is malformed.
+bool EntryExchange::namesOperation() const
 {
-    return m_match.route->repeatable || m_bodyDone ? Outcome::Unknown : Outcome::NotRun;
+    if (m_match.route && m_match.route->repeatable)
+        return false;
+    auto* headers = soup_server_message_get_request_headers(m_message.get());
+    return soup_message_headers_get_one(headers, HeaderName::idempotencyKey)
+        || soup_message_headers_get_one(headers, HeaderName::operationToken);
 }
 
 void EntryExchange::dropCall()
@@ -512,8 +527,11 @@
 
 void EntryExchange::settleAttempt(Refusal&& refusal)
 {
-    bool bound = m_head.inquiry || m_head.operationKind == OperationKind::Token;
-    if (bound || !m_plan->mayRetry(refusal.outcome, refusal.reason, m_keepsBody)) {
+    m_dispatched = m_dispatched || refusal.dispatched;
+    // "Not run" for a key comes from the executor that holds its claim, and no other may run it.
+    bool isHeldKey = m_head.operationKind == OperationKind::Key && refusal.outcome == Outcome::NotRun;
+    bool bound = m_head.inquiry || isHeldKey || m_head.operationKind == OperationKind::Token;
+    if (bound || !m_plan->mayRetry(refusal.dispatched, refusal.reason, m_keepsBody)) {
         respondRefusal(refusal);
         return;
     }
@@ -530,6 +548,7 @@
 
 bool EntryExchange::followHolder(const Refusal& refusal)
 {
+    m_knownToHaveRun = m_knownToHaveRun || refusal.outcome == Outcome::Ran;
     const Candidate* holder = m_worker.findExecutor(m_head.service, refusal.holder);
     if (std::exchange(m_followed, true) || !holder || !m_keepsBody) {
         Refusal unknown = refusal;
@@ -592,9 +611,10 @@
 void EntryExchange::refuseLocally(RefusalReason reason, const char* step, std::string detail, Duration retryAfter)
 {
     Refusal refusal;
-    refusal.outcome = m_call && m_call->isHeadWritten() ? outcomeAfterHead() : Outcome::NotRun;
+    refusal.dispatched = m_dispatched || (m_call && m_call->isHeadWritten() && mayBeDispatchedAfterHead());
     dropCall();
     refusal.reason = reason;
+    refusal.outcome = outcomeOf({ reason, refusal.dispatched, namesOperation() });
     refusal.step = step;
     refusal.peer = std::move(detail);
     refusal.retryAfterMs
@@ -602,12 +622,21 @@
     respondRefusal(refusal);
 }
 
-void EntryExchange::respondRefusal(const Refusal& refusal)
+void EntryExchange::respondRefusal(Refusal refusal)
 {
     constexpr uint32_t millisPerSecond = 1000;
-    nlohmann::ordered_json body { { "outcome", toString(refusal.outcome) }, { "reason", toString(refusal.reason) },
-        { "step", refusal.step }, { "peer", refusal.peer }, { "runs", refusal.runs },
-        { "requestId", toString(m_requestId) } };
+    // An earlier attempt of the request counts as much as the last one.
+    refusal.dispatched = refusal.dispatched || m_dispatched;
+    if (refusal.dispatched && refusal.outcome == Outcome::NotRun)
+        refusal.outcome = Outcome::Unknown;
+    if (m_knownToHaveRun && refusal.outcome == Outcome::Unknown) {
+        refusal.outcome = Outcome::Ran;
+        if (refusal.reason != RefusalReason::DeadlineExceeded)
+            refusal.reason = RefusalReason::AnswerNotRecorded;
+    }
+    nlohmann::ordered_json body { { "outcome", toString(refusal.outcome) }, { "dispatched", refusal.dispatched },
+        { "reason", toString(refusal.reason) }, { "step", refusal.step }, { "peer", refusal.peer },
+        { "runs", refusal.runs }, { "requestId", toString(m_requestId) } };
     auto* headers = soup_server_message_get_response_headers(m_message.get());
     if (refusal.retryAfterMs) {
         uint32_t seconds = (refusal.retryAfterMs + millisPerSecond - 1) / millisPerSecond;
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -44,13 +44,14 @@
     void onCallFailed(const Error&, Outcome);
     void settleAttempt(Refusal&&);
     bool followHolder(const Refusal&);
-    Outcome outcomeAfterHead() const; // when the attempt ends without a response
+    bool mayBeDispatchedAfterHead() const; // when the attempt ends without a response
+    bool namesOperation() const;
     void dropCall();
 
     // Response.
     void writeHead(int64_t length);
     void appendBody(std::string&&);
-    void respondRefusal(const Refusal&);
+    void respondRefusal(Refusal);
     void respondJson(guint status, const std::string& body);
     void addCommonHeaders(Outcome);
     void abortCaller();
@@ -88,6 +89,8 @@
     bool m_complete = false;
     bool m_answered = false; // a local response was written
     bool m_followed = false;
+    bool m_dispatched = false; // an attempt may have reached an upstream
+    bool m_knownToHaveRun = false; // the store shows that the operation ran
     bool m_paused = false;
     bool m_finished = false;
 };
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -54,8 +54,8 @@
 };
 
 struct EntryHooks {
-    std::function<void(const std::string& service)> offered; // a request for a service arrived
-    std::function<bool(const std::string& service)> allowRetry; // RetryBudget; empty: no budget
+    std::function<void(const Service&)> offered; // a request for a service arrived
+    std::function<bool(const Service&)> allowRetry; // RetryBudget; empty: no budget
     std::function<uint64_t()> configurationDigest;
 };
 
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -2,6 +2,8 @@
 
 #include "ExecutorJob.h"
 
+#include <algorithm>
+
 namespace Gooseberrymill {
 
 namespace {
@@ -51,7 +53,25 @@
     m_jobs.clear();
 }
 
-void ExecutorBase::setRoutes(std::shared_ptr<const RouteTable> routes) { m_routes = std::move(routes); }
+void ExecutorBase::setRoutes(std::shared_ptr<const RouteTable> routes)
+{
+    m_routes = std::move(routes);
+    auto upstreams = m_upstreams;
+    for (const auto& [name, upstream] : upstreams) {
+        configure(*upstream);
+        pump(upstream);
+    }
+}
+
+// Before the first configuration the announced slots apply; nothing is run then.
+void ExecutorBase::configure(LocalUpstream& upstream)
+{
+    const Service* service = m_routes ? m_routes->service(upstream.endpoint.service) : nullptr;
+    if (service)
+        upstream.queue->reconfigure(std::min(upstream.endpoint.slots, service->slots), service->admission);
+    else
+        upstream.queue->reconfigure(upstream.endpoint.slots, {});
+}
 
 void ExecutorBase::setUpstream(UpstreamEndpoint endpoint)
 {
@@ -66,12 +86,15 @@
         upstream = std::make_shared<LocalUpstream>();
         upstream->queue = makeQueue(endpoint);
     }
-    if (isNew || upstream->endpoint.slots != endpoint.slots) {
+    bool slotsChanged = isNew || upstream->endpoint.slots != endpoint.slots;
+    if (slotsChanged) {
+        // Requests in flight keep the session of the client that they started on.
         upstream->client = std::make_unique<UpstreamClient>(
             m_task.context(), endpoint.address, endpoint.slots, m_settings.connectTimeout);
-        upstream->queue->setSlots(endpoint.slots);
     }
     upstream->endpoint = std::move(endpoint);
+    if (slotsChanged)
+        configure(*upstream);
     auto held = upstream;
     if (refusalOf(held->endpoint.state) != RefusalReason::None)
         refuseWaiting(*held);
@@ -95,7 +118,7 @@
     for (const auto& [ticket, job] : waiting)
         upstream.queue->cancel(ticket, now);
     for (const auto& [ticket, job] : waiting)
-        job->refuse(Outcome::NotRun, refusalOf(upstream.endpoint.state), "executor.upstream");
+        job->refuse(refusalOf(upstream.endpoint.state), "executor.upstream");
 }
 
 void ExecutorBase::onRequest(std::shared_ptr<RelayExchange> exchange)
@@ -125,7 +148,7 @@
     while (auto expired = upstream->queue->takeExpired(now)) {
         auto node = upstream->waiting.extract(expired->ticket);
         if (node)
-            node.mapped()->refuse(Outcome::NotRun, expired->reason, "executor.admission");
+            node.mapped()->refuse(expired->reason, "executor.admission");
     }
     while (auto ticket = upstream->queue->takeReady(now)) {
         auto node = upstream->waiting.extract(*ticket);
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -42,9 +42,12 @@
 
 // At-most-once execution. An empty function lets every operation run.
 struct OperationGate {
-    // Asked once the whole request is here and before it is queued; `decide` runs once, now or later. An inquiry
-    // is never answered with Run.
+    // Asked once the whole request is here and before it is queued; `decide` runs once, now or later, unless
+    // the request leaves before. An inquiry is answered with Run when the operation is claimed here and open.
     std::function<void(const RequestHead&, std::string_view body, std::function<void(GateDecision)> decide)> begin;
+    // The request ends while it waits for a decision. Takes the object that begin() got; `decide` need not run any
+    // more. Empty: a later decision Run is given back by finish().
+    std::function<void(const RequestHead&)> leave;
     // The response is complete. `response` is null when it was too large to keep.
     // `delivered`: the entry still waits for it.
     std::function<void(const RequestHead&, std::shared_ptr<const StoredResponse> response, bool delivered)> settle;
@@ -77,7 +80,7 @@
     virtual std::optional<TicketId> takeReady(Instant) = 0;
     virtual std::optional<AdmissionRefusal> takeExpired(Instant) = 0;
     virtual LoadReport report() = 0;
-    virtual void setSlots(uint32_t) = 0;
+    virtual void reconfigure(uint32_t slots, const AdmissionPolicy&) = 0;
 };
 
 template <Admission Queue> class AdmissionHolder final : public AdmissionPort {
@@ -98,10 +101,10 @@
     std::optional<TicketId> takeReady(Instant now) override { return m_queue.takeReady(now); }
     std::optional<AdmissionRefusal> takeExpired(Instant now) override { return m_queue.takeExpired(now); }
     LoadReport report() override { return m_queue.report(); }
-    void setSlots(uint32_t slots) override
+    void reconfigure(uint32_t slots, const AdmissionPolicy& policy) override
     {
-        if constexpr (requires { m_queue.setSlots(slots); })
-            m_queue.setSlots(slots);
+        if constexpr (requires { m_queue.reconfigure(slots, policy); })
+            m_queue.reconfigure(slots, policy);
     }
 
 private:
@@ -152,6 +155,7 @@
 
     void onRequest(std::shared_ptr<RelayExchange>);
     void onToken(TokenQuery&&, std::function<void(TokenReply)>);
+    void configure(LocalUpstream&); // its queue, from the announcement and the service
     void refuseWaiting(LocalUpstream&);
     void pump(const std::shared_ptr<LocalUpstream>&); // dispatches waiting requests, refuses expired ones
     void sweep();
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -1,5 +1,7 @@
 #include "ExecutorJob.h"
 
+#include "core/RefusalOutcome.h"
+
 #include <algorithm>
 
 namespace Gooseberrymill {
@@ -9,6 +11,15 @@
 constexpr size_t heldResponseBytes = 64 << 10; // a response up to this size is sent only when complete
 constexpr size_t maxStoredBytes = 1 << 20; // of a response kept for duplicates
 
+// Ends an operation that the gate lets run when its request is gone, so that a later request may run it.
+Refusal giveBack()
+{
+    Refusal refusal;
+    refusal.reason = RefusalReason::Cancelled;
+    refusal.step = "executor.gate";
+    return refusal;
+}
+
 bool passesCheck(const AnswerCheck& check, const ResponseHead& response, uint64_t bytes)
 {
     bool statusOk = check.statuses.empty()
@@ -39,7 +50,7 @@
 bool ExecutorJob::findTarget()
 {
     if (!m_routes) {
-        refuse(Outcome::NotRun, RefusalReason::NoConfiguration, "executor.route", 1s);
+        refuse(RefusalReason::NoConfiguration, "executor.route", 1s);
         return false;
     }
     m_service = m_routes->service(head().service);
@@ -49,17 +60,17 @@
         m_route = it == m_service->routes.end() ? nullptr : &*it;
     }
     if (!m_route) {
-        refuse(Outcome::NotRun, RefusalReason::NoRoute, "executor.route");
+        refuse(RefusalReason::NoRoute, "executor.route");
         return false;
     }
     if (head().executor && head().executor != m_executor.m_identity.incarnation) {
         // Another incarnation was to run it; whether it did is not known here.
-        refuse(Outcome::Unknown, RefusalReason::HolderGone, "executor.incarnation");
+        refuse(RefusalReason::HolderGone, "executor.incarnation");
         return false;
     }
     auto it = m_executor.m_upstreams.find(head().upstream);
     if (it == m_executor.m_upstreams.end() || it->second->endpoint.service != head().service) {
-        refuse(Outcome::NotRun, RefusalReason::NoUpstream, "executor.upstream");
+        refuse(RefusalReason::NoUpstream, "executor.upstream");
         return false;
     }
     m_upstream = it->second;
@@ -68,14 +79,14 @@
 
 bool ExecutorJob::checkTarget()
 {
-    if (head().inquiry)
-        return true; // runs nothing
+    if (head().inquiry && !m_gateOpen)
+        return true; // the gate may know the outcome; nothing runs before its decision
     if (m_executor.m_draining) {
-        refuse(Outcome::NotRun, RefusalReason::Draining, "executor.drain");
+        refuse(RefusalReason::Draining, "executor.drain");
         return false;
     }
     if (auto reason = refusalOf(m_upstream->endpoint.state); reason != RefusalReason::None) {
-        refuse(Outcome::NotRun, reason, "executor.upstream");
+        refuse(reason, "executor.upstream");
         return false;
     }
     if (auto refusal = m_executor.m_hooks.screen ? m_executor.m_hooks.screen(head()) : std::nullopt) {
@@ -109,7 +120,7 @@
     m_holdsBody = !m_route->repeatable || isOperation();
     uint64_t limit = std::min(m_executor.m_settings.maxOperationBodyBytes, m_route->maxBodyBytes);
     if (m_holdsBody && head().bodyLength > 0 && static_cast<uint64_t>(head().bodyLength) > limit)
-        refuse(Outcome::NotRun, RefusalReason::BodyTooLarge, "executor.body");
+        refuse(RefusalReason::BodyTooLarge, "executor.body");
     else if (!m_holdsBody || !head().bodyLength)
         askGate();
 }
@@ -126,7 +137,7 @@
     if (!m_holdsBody)
         m_exchange->pauseBody(); // until it is dispatched
     else if (m_body.size() > m_executor.m_settings.maxOperationBodyBytes)
-        refuse(Outcome::NotRun, RefusalReason::BodyTooLarge, "executor.body");
+        refuse(RefusalReason::BodyTooLarge, "executor.body");
 }
 
 void ExecutorJob::onBodyEnd()
@@ -136,7 +147,7 @@
         if (m_call)
             m_call->endBody();
     } else if (head().bodyLength > 0 && m_body.size() != static_cast<size_t>(head().bodyLength))
-        refuse(Outcome::NotRun, RefusalReason::BadRequest, "executor.body");
+        refuse(RefusalReason::BadRequest, "executor.body");
     else if (head().bodyLength)
         askGate();
 }
@@ -146,25 +157,30 @@
     auto& gate = m_executor.m_hooks.operations;
     if (!isOperation() || !gate.begin) {
         if (head().inquiry)
-            refuse(Outcome::Unknown, RefusalReason::HolderGone, "executor.inquiry");
+            refuse(RefusalReason::HolderGone, "executor.inquiry");
         else
             admit();
         return;
     }
-    gate.begin(head(), m_body, [weak = weak_from_this()](GateDecision decision) {
-        if (auto self = weak.lock(); self && !self->m_ended)
-            self->onDecision(std::move(decision));
-    });
+    m_atGate = true;
+    // The exchange keeps the head for a decision that comes after the job.
+    gate.begin(
+        head(), m_body, [weak = weak_from_this(), exchange = m_exchange, finish = gate.finish](GateDecision decision) {
+            auto self = weak.lock();
+            if (self && !self->m_ended)
+                self->onDecision(std::move(decision));
+            else if (decision.kind == GateDecision::Kind::Run && finish)
+                finish(exchange->head(), giveBack());
+        });
 }
 
 void ExecutorJob::onDecision(GateDecision&& decision)
 {
+    m_atGate = false;
     if (decision.kind == GateDecision::Kind::Respond) {
         respond(*decision.response);
     } else if (decision.kind == GateDecision::Kind::Refuse) {
-        refuse(std::move(decision.refusal));
-    } else if (head().inquiry) {
-        refuse(Outcome::Unknown, RefusalReason::HolderGone, "executor.inquiry");
+        sendRefusal(std::move(decision.refusal)); // the table states the outcome of the operation
     } else {
         m_gateOpen = true;
         m_stored = std::make_shared<StoredResponse>();
@@ -173,10 +189,16 @@
     }
 }
 
+// An upstream that came back under its name while this request ran is reported as it is now.
+LoadReport ExecutorJob::loadReport() const
+{
+    return m_executor.report(m_upstream->endpoint.name).value_or(m_upstream->report());
+}
+
 void ExecutorJob::respond(const StoredResponse& stored)
 {
     ResponseHead response = stored.head;
-    response.load = m_upstream->report();
+    response.load = loadReport();
     response.bodyLength = static_cast<int64_t>(stored.body.size());
     m_exchange->sendHead(std::move(response));
     if (!stored.body.empty())
@@ -196,7 +218,7 @@
     else if (decision.verdict == AdmissionVerdict::Queued)
         m_upstream->waiting[m_ticket] = shared_from_this();
     else
-        refuse(Outcome::NotRun, decision.reason, "executor.admission", decision.retryAfter);
+        refuse(decision.reason, "executor.admission", decision.retryAfter);
 }
 
 void ExecutorJob::dispatch()
@@ -255,7 +277,7 @@
 void ExecutorJob::streamHead()
 {
     m_headSent = true;
-    m_response.load = m_upstream->report();
+    m_response.load = loadReport();
     m_exchange->sendHead(m_response);
     if (!m_held.empty())
         m_exchange->sendChunk(std::exchange(m_held, {}));
@@ -304,7 +326,7 @@
     if (failure.reason == RefusalReason::UpstreamCrashed && m_executor.m_hooks.crashed)
         m_executor.m_hooks.crashed(head());
     Refusal refusal;
-    refusal.outcome = failure.started ? Outcome::Unknown : Outcome::NotRun;
+    refusal.dispatched = failure.started;
     refusal.reason = failure.reason;
     refusal.step = failure.error.step;
     refusal.peer = failure.error.peer;
@@ -320,11 +342,11 @@
         readNext();
         return;
     }
-    Outcome outcome = m_call && m_call->isStarted() ? Outcome::Unknown : Outcome::NotRun;
+    bool started = m_call && m_call->isStarted();
     if (m_call)
         m_call->cancel();
     leaveSlot(SampleKind::Cancelled, false);
-    refuse(outcome, RefusalReason::Cancelled, "executor.caller");
+    refuse(RefusalReason::Cancelled, "executor.caller", {}, started);
 }
 
 void ExecutorJob::checkDeadline(Instant now)
@@ -339,7 +361,7 @@
     if (m_call)
         m_call->cancel();
     leaveSlot(SampleKind::Cancelled, false);
-    refuse(started ? Outcome::Unknown : Outcome::NotRun, RefusalReason::DeadlineExceeded, "executor.deadline");
+    refuse(RefusalReason::DeadlineExceeded, "executor.deadline", {}, started);
 }
 
 void ExecutorJob::leaveSlot(SampleKind kind, bool completed)
@@ -357,10 +379,10 @@
         m_executor.m_hooks.sample(m_upstream->endpoint.name, { kind, workKeyOf(*m_service, *m_route), length }, now);
 }
 
-void ExecutorJob::refuse(Outcome outcome, RefusalReason reason, const char* step, Duration retryAfter)
+void ExecutorJob::refuse(RefusalReason reason, const char* step, Duration retryAfter, bool dispatched)
 {
     Refusal refusal;
-    refusal.outcome = outcome;
+    refusal.dispatched = dispatched;
     refusal.reason = reason;
     refusal.step = step;
     refusal.peer = m_executor.m_identity.node;
@@ -370,11 +392,17 @@
 }
 
 void ExecutorJob::refuse(Refusal refusal)
+{
+    refusal.outcome = outcomeOf({ refusal.reason, refusal.dispatched, isOperation(), m_gateOpen });
+    sendRefusal(std::move(refusal));
+}
+
+void ExecutorJob::sendRefusal(Refusal refusal)
 {
     if (m_ended)
         return;
     if (m_upstream)
-        refusal.load = m_upstream->report();
+        refusal.load = loadReport();
     if (std::exchange(m_gateOpen, false) && m_executor.m_hooks.operations.finish)
         m_executor.m_hooks.operations.finish(head(), refusal);
     if (m_headSent)
@@ -388,6 +416,8 @@
 {
     auto self = shared_from_this();
     m_ended = true;
+    if (std::exchange(m_atGate, false) && m_executor.m_hooks.operations.leave)
+        m_executor.m_hooks.operations.leave(head());
     m_exchange->setHandlers({});
     auto upstream = m_upstream;
     m_executor.remove(self);
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -11,8 +11,9 @@
 
     void start();
     void dispatch(); // a slot is free
-    void refuse(Outcome, RefusalReason, const char* step, Duration retryAfter = {});
-    void refuse(Refusal);
+    // `dispatched`: a byte of the request may have reached the upstream.
+    void refuse(RefusalReason, const char* step, Duration retryAfter = {}, bool dispatched = false);
+    void refuse(Refusal); // the outcome follows from `dispatched` and `reason`
     void checkDeadline(Instant now);
     TicketId ticket() const { return m_ticket; }
     void detach(); // the executor ends; nothing more is reported
@@ -36,8 +37,10 @@
     void onCancelled();
     void streamHead();
     void readNext();
+    void sendRefusal(Refusal);
     void leaveSlot(SampleKind, bool completed);
     SampleKind judge() const;
+    LoadReport loadReport() const;
     void end();
 
     ExecutorBase& m_executor;
@@ -53,6 +56,7 @@
     bool m_holdsBody = false; // the request is dispatched only when it is here whole
     bool m_bodyEnded = false;
     bool m_hasSlot = false;
+    bool m_atGate = false; // waits for the gate's decision
     bool m_gateOpen = false; // the gate let the operation run and waits for its end
     bool m_callerGone = false;
     bool m_ended = false;
--- a/src/node/OperationService.h
+++ b/src/node/OperationService.h
@@ -44,13 +44,24 @@
         Instant now = currentInstant();
         WaiterId waiter = ++m_lastWaiter;
         OperationDecision decision = m_table.begin(request, waiter, now, currentWallTime());
-        m_waiting[waiter] = { head.requestId, std::move(decide) };
+        m_waiting[waiter] = { head.requestId, &head, std::move(decide) };
+        m_waiters[&head] = waiter;
         if (decision.step == OperationStep::Claim)
             claim(head, now);
         else if (decision.step != OperationStep::Wait)
             answer(waiter, decision);
     }
 
+    void leave(const RequestHead& head)
+    {
+        auto it = m_waiters.find(&head);
+        if (it == m_waiters.end())
+            return;
+        m_table.waiterGone(head.operation, it->second);
+        m_waiting.erase(it->second);
+        m_waiters.erase(it);
+    }
+
     void settle(const RequestHead& head, const std::shared_ptr<const StoredResponse>& response, bool delivered)
     {
         if (!m_table.dispatched(head.operation))
@@ -66,7 +77,7 @@
 
     void finish(const RequestHead& head, const Refusal& refusal)
     {
-        bool mayHaveRun = refusal.outcome != Outcome::NotRun;
+        bool mayHaveRun = refusal.dispatched;
         if (mayHaveRun && !m_table.dispatched(head.operation))
             return;
         deliver(m_table.failed(head.operation, refusal.reason, currentInstant()));
@@ -133,6 +144,7 @@
             return;
         Waiting waiting = std::move(it->second);
         m_waiting.erase(it);
+        m_waiters.erase(waiting.head);
         waiting.decide(convert(waiting.requestId, decision));
     }
 
@@ -166,6 +178,7 @@
 
     struct Waiting {
         Id128 requestId;
+        const RequestHead* head = nullptr; // identifies the request in leave(); not read
         Decide decide;
     };
 
@@ -173,6 +186,7 @@
     OperationLimits m_limits;
     std::shared_ptr<const RouteTable> m_routes;
     std::unordered_map<WaiterId, Waiting> m_waiting;
+    std::unordered_map<const RequestHead*, WaiterId> m_waiters; // the same requests by their heads
     WaiterId m_lastWaiter = 0;
     std::optional<ClaimWriter<Store>> m_claims; // last: its callbacks use the members above
 };
--- a/src/node/RelayClient.cpp
+++ b/src/node/RelayClient.cpp
@@ -1,5 +1,8 @@
 #include "RelayClient.h"
 
+#include "core/RefusalOutcome.h"
+#include "Task.h"
+
 #include <algorithm>
 
 namespace Gooseberrymill {
@@ -184,6 +187,8 @@
     refusal.requestId = m_head.requestId;
     if (closes) {
         m_done = true;
+        refusal.outcome
+            = outcomeOf({ refusal.reason, refusal.dispatched, m_head.operationKind != OperationKind::None });
         m_connection->close();
     } else
         finish();
--- /dev/null
+++ b/tests/AttemptPlanTests.cpp
@@ -0,0 +1,69 @@
+// What a refusal says about its request, whether another upstream may be tried, and the affinity of keys.
+#define BOOST_TEST_MODULE AttemptPlan
+#include "core/ClaimLedger.h"
+#include "core/RefusalOutcome.h"
+#include "node/AttemptPlan.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace Gooseberrymill;
+
+// Guards against "not run" for an operation from a node that does not know whether it ran elsewhere.
+BOOST_AUTO_TEST_CASE(onlyAnExecutorThatKnowsTheOperationSaysNotRun)
+{
+    for (RefusalReason reason :
+        { RefusalReason::QueueFull, RefusalReason::Draining, RefusalReason::NoUpstream, RefusalReason::NoConfiguration,
+            RefusalReason::RelayFailed, RefusalReason::DeadlineExceeded, RefusalReason::StoreUnavailable,
+            RefusalReason::UpstreamUnreachable, RefusalReason::QueryOfDeath, RefusalReason::Overloaded }) {
+        BOOST_TEST((outcomeOf({ .reason = reason }) == Outcome::NotRun));
+        BOOST_TEST((outcomeOf({ .reason = reason, .namesOperation = true }) == Outcome::Unknown));
+        BOOST_TEST(
+            (outcomeOf({ .reason = reason, .namesOperation = true, .operationKnown = true }) == Outcome::NotRun));
+        BOOST_TEST((outcomeOf({ .reason = reason, .dispatched = true }) == Outcome::Unknown));
+        BOOST_TEST((outcomeOf({ .reason = reason, .dispatched = true, .namesOperation = true, .operationKnown = true })
+            == Outcome::Unknown));
+    }
+}
+
+// Guards against a faulty request that its caller takes for one that may have run.
+BOOST_AUTO_TEST_CASE(faultOfTheRequestIsNotRun)
+{
+    for (RefusalReason reason :
+        { RefusalReason::BadRequest, RefusalReason::NoRoute, RefusalReason::BodyTooLarge, RefusalReason::KeyReused }) {
+        BOOST_TEST((outcomeOf({ .reason = reason, .namesOperation = true }) == Outcome::NotRun));
+        BOOST_TEST((outcomeOf({ .reason = reason, .dispatched = true }) == Outcome::Unknown));
+    }
+}
+
+// Guards against a second upstream for a request that the first one may have run, and against giving up one that
+// no upstream has seen.
+BOOST_AUTO_TEST_CASE(triesAnotherUpstreamByWhatWasDispatched)
+{
+    for (bool repeatable : { false, true }) {
+        AttemptPlan plan(repeatable, 3, {});
+        plan.started("a");
+        BOOST_TEST(plan.mayRetry(false, RefusalReason::Draining, true));
+        BOOST_TEST(!plan.mayRetry(false, RefusalReason::Draining, false));
+        BOOST_TEST(!plan.mayRetry(false, RefusalReason::StoreUnavailable, true));
+        BOOST_TEST(!plan.mayRetry(true, RefusalReason::Draining, true));
+        BOOST_TEST(plan.mayRetry(true, RefusalReason::UpstreamCrashed, true) == repeatable);
+        plan.started("b");
+        plan.started("c");
+        BOOST_TEST(!plan.mayRetry(false, RefusalReason::Draining, true));
+    }
+}
+
+// Guards against several executors writing the claims of one shard, whose conditional writes then conflict.
+BOOST_AUTO_TEST_CASE(operationsOfAShardShareTheirAffinity)
+{
+    std::set<Id128> affinities;
+    uint32_t shards = ClaimSettings {}.shards;
+    for (uint64_t i = 0; i < 1000; ++i) {
+        Id128 operation { i * 7919, 0x8000000000000000ULL | i };
+        Id128 sameShard { i, operation.low + uint64_t(shards) * 3 };
+        BOOST_TEST((claimAffinity(operation) == claimAffinity(sameShard)));
+        affinities.insert(claimAffinity(operation));
+    }
+    BOOST_TEST(affinities.size() == shards);
+}
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -221,7 +221,7 @@
 {
     std::atomic<int> tokens = 1;
     FleetOptions options { .nodes = 3 };
-    options.entryHooks.allowRetry = [&](const std::string&) { return tokens.fetch_sub(1) > 0; };
+    options.entryHooks.allowRetry = [&](const Service&) { return tokens.fetch_sub(1) > 0; };
     TestFleet fleet(options);
     HttpCaller caller(fleet.port());
     checkRefused(caller.request("POST", "/read/x", closing, "body"), 502, "unknown", "upstream-crashed");
--- /dev/null
+++ b/tests/OperationServiceTests.cpp
@@ -0,0 +1,109 @@
+// The operation gate of an executor over its table and claims, with the in-memory store.
+#define BOOST_TEST_MODULE OperationService
+#include "core/MemoryStore.h"
+#include "node/OperationService.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+const Id128 incarnation { 7, 7 };
+
+struct Request {
+    RequestHead head;
+    std::optional<GateDecision> decision;
+
+    Request(const Id128& operation, const Id128& requestId)
+    {
+        head.requestId = requestId;
+        head.service = "shop";
+        head.route = "order";
+        head.method = "POST";
+        head.target = "/order/a";
+        head.deadlineMs = 10000;
+        head.operationKind = OperationKind::Key;
+        head.operation = operation;
+    }
+
+    bool mayRun() const { return decision && decision->kind == GateDecision::Kind::Run; }
+};
+
+struct Fixture {
+    MemoryStore store;
+    OperationService<MemoryStore> service { incarnation, OperationLimits {}, &store };
+    Id128 key { static_cast<uint64_t>(currentWallTime().time_since_epoch().count()) << 16 | 0x7000,
+        0x8000000000000001ULL };
+
+    void begin(Request& request)
+    {
+        service.begin(request.head, "body", [&](GateDecision decision) { request.decision = std::move(decision); });
+    }
+};
+
+} // namespace
+
+// Guards against an operation that stays claimed for a request that is gone, so that each later one waits.
+BOOST_FIXTURE_TEST_CASE(nextRequestRunsWhenTheClaimantLeft, Fixture)
+{
+    Request first(key, { 1, 1 });
+    Request second(key, { 1, 2 });
+    begin(first);
+    begin(second);
+    service.leave(first.head);
+    store.deliverAll();
+    BOOST_TEST(!first.decision.has_value());
+    BOOST_TEST(second.mayRun());
+}
+
+// Guards against an open operation that nobody may run after its only request left during the claim.
+BOOST_FIXTURE_TEST_CASE(laterRequestRunsWhenAllLeft, Fixture)
+{
+    Request first(key, { 1, 1 });
+    begin(first);
+    service.leave(first.head);
+    store.deliverAll();
+    Request later(key, { 1, 2 });
+    begin(later);
+    BOOST_TEST(later.mayRun());
+    BOOST_TEST(!first.decision.has_value());
+}
+
+// Guards against waiting requests that are kept, or told, after their callers left.
+BOOST_FIXTURE_TEST_CASE(waiterThatLeftIsNotTold, Fixture)
+{
+    Request first(key, { 1, 1 });
+    Request second(key, { 1, 2 });
+    Request third(key, { 1, 3 });
+    begin(first);
+    store.deliverAll();
+    BOOST_REQUIRE(first.mayRun());
+    begin(second);
+    begin(third);
+    service.leave(second.head);
+    service.leave(second.head); // no harm
+    auto response = std::make_shared<StoredResponse>();
+    response->head.status = 201;
+    response->body = "done";
+    service.settle(first.head, response, true);
+    BOOST_TEST(!second.decision.has_value());
+    BOOST_REQUIRE(third.decision.has_value());
+    BOOST_TEST((third.decision->kind == GateDecision::Kind::Respond));
+    BOOST_TEST(third.decision->response->body == "done");
+}
+
+// Guards against a "not run" end of a request that keeps the operation from running later.
+BOOST_FIXTURE_TEST_CASE(runThatWasGivenBackMayBeTakenAgain, Fixture)
+{
+    Request first(key, { 1, 1 });
+    begin(first);
+    store.deliverAll();
+    BOOST_REQUIRE(first.mayRun());
+    Refusal refusal;
+    refusal.reason = RefusalReason::Cancelled;
+    service.finish(first.head, refusal);
+    Request later(key, { 1, 2 });
+    begin(later);
+    BOOST_TEST(later.mayRun());
+}
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -59,6 +59,7 @@
     Refusal refusal;
     refusal.reason = RefusalReason::Overloaded;
     refusal.step = "executor.admission";
+    refusal.dispatched = true;
     ConfigurationReply reply;
     reply.newer.push_back({ "main", 4, "change", "author", std::string(100000, 'x') });
     return { sampleHead(), BodyChunk { std::string(maxChunkBytes, 'b') }, BodyEnd {}, response, refusal,
@@ -260,7 +261,7 @@
     BOOST_TEST((decodeForged(12, flag) == ErrorCode::Malformed));
     BOOST_TEST((decodeForged(0, flag) == ErrorCode::Malformed));
     std::string refusal = flag + std::string(16, '\0') + '\x07'; // outcome 7
-    refusal += std::string(1 + 4 + 4 + 8 + 8 + 16 + 12 + 1, '\0');
+    refusal += std::string(1 + 4 + 4 + 1 + 8 + 8 + 16 + 12 + 1, '\0');
     BOOST_TEST((decodeForged(6, refusal) == ErrorCode::Malformed));
     refusal[17] = 0;
     Pair pair;
--- a/tests/TestFleet.h
+++ b/tests/TestFleet.h
@@ -15,6 +15,7 @@
     auto document = std::make_shared<Configuration>();
     Service service;
     service.name = "shop";
+    service.slots = 64; // the announced slots apply, which are fewer
     constexpr uint64_t largeBody = 128 << 20;
     Route read { .name = "read",
         .methods = {},
