Serve the listen backlog before the listener closes

Cause: closing a listening socket resets the connections that the kernel has already accepted, and a connection without a request yet was closed at once.

Change: a stopping worker lets libsoup take the backlog until it is empty, then closes the listener. A new connection has another drainGrace to send its first request, and input that has arrived is served. The stop is complete when no request and no connection is left.

--- a/src/node/EntryServer.cpp
+++ b/src/node/EntryServer.cpp
@@ -11,6 +11,9 @@
 
 constexpr Duration sweepInterval = 25ms;
 constexpr Duration idleCheckInterval = 250ms;
+constexpr Duration backlogCheckInterval = 1ms;
+constexpr Duration maxUnreadWait = 5s; // input that the HTTP library does not read must not keep the node running
+constexpr uint32_t maxBacklogChecks = 1000; // callers that keep connecting must not keep the listener open
 
 } // namespace
 
@@ -28,6 +31,7 @@
 EntryWorker::~EntryWorker()
 {
     m_sweepSource.reset();
+    m_backlogSource.reset();
     for (const auto& exchange : m_exchanges)
         exchange->detach();
     m_exchanges.clear();
@@ -105,7 +109,7 @@
 void EntryWorker::begin(SoupServerMessage* message)
 {
     if (auto* connection = trackConnection(message))
-        connection->busy = true;
+        connection->busy = connection->served = true;
     auto exchange = std::make_shared<EntryExchange>(*this, message);
     m_exchanges.insert(exchange);
     if (m_connections.size() > m_maxConnections)
@@ -121,20 +125,21 @@
     for (const auto& exchange : exchanges)
         exchange->sweep(now);
     closeIdle(now);
+    endDrainingIfDone();
 }
 
 // libsoup 3.2.3 does not notice the end of a kept-alive connection on which a request was served, so idle
 // connections are checked here and their descriptors closed.
 void EntryWorker::closeIdle(Instant now)
 {
-    if (now < m_nextIdleCheck)
+    if (now < m_nextIdleCheck && !m_stopped)
         return;
     m_nextIdleCheck = now + idleCheckInterval;
     size_t excess = m_connections.size() - std::min(m_connections.size(), m_maxConnections);
     for (auto it = m_connections.begin(); it != m_connections.end();) {
         CallerConnection& connection = *it->second;
         bool old = now - connection.idleSince >= m_settings.idleTimeout;
-        bool unwanted = old || excess || m_stopped;
+        bool unwanted = old || excess || (m_stopped && !isAwaited(it->first, connection, now));
         if (connection.busy || (!unwanted && !isAtEnd(it->first))) {
             ++it;
             continue;
@@ -153,23 +158,61 @@
         it->second->idleSince = currentInstant();
     }
     m_exchanges.erase(exchange);
-    if (m_exchanges.empty() && m_drained)
-        m_task.post(std::exchange(m_drained, nullptr));
+}
+
+// A request that has arrived, or the first request of a connection.
+bool EntryWorker::isAwaited(GSocket* socket, const CallerConnection& connection, Instant now) const
+{
+    if (isAtEnd(socket))
+        return false;
+    Duration wait = hasInput(socket) ? maxUnreadWait : Duration {};
+    if (!connection.served)
+        wait = std::max(wait, m_settings.drainGrace);
+    return now < m_stoppedAt + wait;
 }
 
 void EntryWorker::finishDraining(std::function<void()> done)
 {
     m_draining = true;
+    m_drained = std::move(done);
+    // The kernel resets the connections that wait in the backlog of a socket that is closed.
+    m_backlogSource = m_task.every(backlogCheckInterval, [this, checks = 0U]() mutable {
+        if (!isBacklogEmpty() && ++checks < maxBacklogChecks)
+            return true;
+        stopListening();
+        return false;
+    });
+}
+
+bool EntryWorker::isBacklogEmpty() const
+{
+    if (!m_server)
+        return true;
+    GSList* listeners = soup_server_get_listeners(m_server.get());
+    bool isEmpty = true;
+    for (GSList* it = listeners; it; it = it->next)
+        isEmpty = isEmpty && !hasInput(static_cast<GSocket*>(it->data));
+    g_slist_free(listeners);
+    return isEmpty;
+}
+
+void EntryWorker::stopListening()
+{
     m_stopped = true;
+    m_stoppedAt = currentInstant();
+    if (!m_server)
+        return;
     // Closing only the listeners keeps the connections whose requests are in flight.
-    if (m_server) {
-        GSList* listeners = soup_server_get_listeners(m_server.get());
-        for (GSList* it = listeners; it; it = it->next)
-            g_socket_close(static_cast<GSocket*>(it->data), nullptr);
-        g_slist_free(listeners);
-    }
-    m_drained = std::move(done);
-    if (m_exchanges.empty())
+    GSList* listeners = soup_server_get_listeners(m_server.get());
+    for (GSList* it = listeners; it; it = it->next)
+        g_socket_close(static_cast<GSocket*>(it->data), nullptr);
+    g_slist_free(listeners);
+}
+
+// Called by the sweep, so that a connection just accepted has been seen.
+void EntryWorker::endDrainingIfDone()
+{
+    if (m_stopped && m_drained && m_exchanges.empty() && m_connections.empty())
         m_task.post(std::exchange(m_drained, nullptr));
 }
 
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -74,7 +74,8 @@
 
     // From now on each response closes its connection.
     void startDraining() { m_draining = true; }
-    // Stops listening; calls `done` when no request is in flight.
+    // Takes what is in the listen backlog, stops listening, serves the requests of the connections taken; calls
+    // `done` when no request is in flight. A new connection has another `drainGrace` to send its first request.
     void finishDraining(std::function<void()> done);
     size_t activeCount() const { return m_exchanges.size(); }
 
@@ -85,6 +86,7 @@
         EntryWorker* worker = nullptr;
         GSocket* socket = nullptr; // weak
         bool busy = false; // a request is in flight
+        bool served = false; // its first request has arrived
         Instant idleSince {};
     };
 
@@ -95,6 +97,10 @@
     void begin(SoupServerMessage*);
     void sweep();
     void closeIdle(Instant now);
+    bool isAwaited(GSocket*, const CallerConnection&, Instant now) const;
+    bool isBacklogEmpty() const;
+    void stopListening();
+    void endDrainingIfDone();
     void remove(const std::shared_ptr<EntryExchange>&, GSocket*);
     const Candidate* findExecutor(const std::string& service, const Id128& executor) const;
 
@@ -111,6 +117,8 @@
     size_t m_maxConnections;
     Instant m_nextIdleCheck {};
     SourceHandle m_sweepSource;
+    SourceHandle m_backlogSource;
+    Instant m_stoppedAt {};
     bool m_draining = false;
     bool m_stopped = false; // no new connections
     std::function<void()> m_drained;
--- a/src/node/GlibCalls.cpp
+++ b/src/node/GlibCalls.cpp
@@ -130,6 +130,8 @@
     return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+bool hasInput(GSocket* socket) { return g_socket_condition_check(socket, G_IO_IN) & G_IO_IN; }
+
 void closeWithReset(GSocket* socket)
 {
     linger option { 1, 0 };
--- a/src/node/GlibCalls.h
+++ b/src/node/GlibCalls.h
@@ -31,6 +31,9 @@
 // True when the peer has closed and everything it sent was read. Null counts as closed.
 bool isAtEnd(GSocket*);
 
+// True when something can be read, or a connection accepted, without waiting.
+bool hasInput(GSocket*);
+
 // Closes with a reset, so that the peer cannot take what it got for a whole message.
 void closeWithReset(GSocket*);
 
--- a/tests/PathOutcomeTests.cpp
+++ b/tests/PathOutcomeTests.cpp
@@ -349,3 +349,63 @@
     for (int i = 0; i < 8; ++i)
         BOOST_TEST(HttpCaller(fleet.port()).request("POST", "/order/a", {}, "x").status == 200);
 }
+
+// Guards against a reset of connections that the kernel accepted before the node stopped listening.
+BOOST_AUTO_TEST_CASE(stopServesTheListenBacklog)
+{
+    constexpr int waiting = 40;
+    std::promise<void> entered;
+    std::promise<void> release;
+    std::atomic<bool> blocks = true;
+    FleetOptions options { .nodes = 2, .slots = 64, .workers = 1 };
+    options.adjust = [](Settings& settings) { settings.drainGrace = {}; };
+    options.entryHooks.offered = [&](const Service&) {
+        if (blocks.exchange(false)) {
+            entered.set_value();
+            release.get_future().wait(); // keeps the worker from accepting
+        }
+    };
+    TestFleet fleet(options);
+    HttpCaller first(fleet.port());
+    first.sendHead("GET", "/read/first");
+    entered.get_future().wait();
+    std::deque<HttpCaller> callers;
+    for (int i = 0; i < waiting; ++i) {
+        HttpCaller& caller = callers.emplace_back(fleet.port());
+        BOOST_REQUIRE(caller.isConnected());
+        caller.sendHead("GET", "/read/waiting");
+    }
+    std::promise<void> done;
+    fleet[0].node->stop([&] { done.set_value(); });
+    release.set_value();
+    BOOST_TEST(first.receive().status == 200);
+    int served = 0;
+    for (HttpCaller& caller : callers) {
+        auto response = caller.receive();
+        served += response.status == 200 && response.complete;
+    }
+    BOOST_TEST(served == waiting);
+    BOOST_TEST((done.get_future().wait_for(20s) == std::future_status::ready));
+}
+
+// Guards against closing a connection whose first request is still on its way when the node stops listening.
+BOOST_AUTO_TEST_CASE(stopServesConnectionsWithoutRequestYet)
+{
+    FleetOptions options { .nodes = 2, .workers = 1 };
+    options.adjust = [](Settings& settings) { settings.drainGrace = 1s; };
+    TestFleet fleet(options);
+    HttpCaller late(fleet.port());
+    HttpCaller silent(fleet.port());
+    HttpCaller kept(fleet.port());
+    BOOST_TEST(kept.request("GET", "/read/a").status == 200);
+    std::promise<void> done;
+    auto ended = done.get_future();
+    fleet[0].node->stop([&] { done.set_value(); });
+    BOOST_REQUIRE(eventually([&] { return !HttpCaller(fleet.port()).isConnected(); }));
+    auto response = late.request("GET", "/read/late");
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.header("Connection") == "close");
+    BOOST_TEST(kept.waitForClose());
+    BOOST_TEST(silent.waitForClose());
+    BOOST_TEST((ended.wait_for(20s) == std::future_status::ready));
+}
