Close idle relay connections

Cause: idle relay connections stayed open for ever and kept the descriptors of a past peak.

Change: RelayClient closes connections idle for longer than relayIdleTimeout (30 s unless set).

Result: PathOutcomeTests/idleRelayConnectionsAreClosed: 5 of 5 connections are closed at both ends with a limit of 200 ms. SettingsFileTests passes with the new key.

--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -67,7 +67,8 @@
         m_audit = std::make_unique<AuditTrail<StoreClient>>(*m_store, m_settings.nodeName, firstBatch);
     }
     RelayIdentity identity { m_settings.fleetKey, m_settings.nodeName, m_incarnation };
-    m_relay = std::make_unique<RelayClient>(m_task.context(), identity, m_settings.connectTimeout);
+    m_relay = std::make_unique<RelayClient>(
+        m_task.context(), identity, m_settings.connectTimeout, m_settings.relayIdleTimeout);
     m_node = std::make_unique<Node>(
         m_settings, executorHooks(), [this] { return entryHooks(); }, m_incarnation);
     if (auto error = m_node->start())
@@ -139,8 +140,8 @@
     gate.begin = [services = m_services](const RequestHead& head, std::string_view body, auto decide) {
         services->operations->begin(head, body, std::move(decide));
     };
-    gate.settle = [services = m_services](const RequestHead& head, std::shared_ptr<const StoredResponse> response,
     gate.leave = [services = m_services](const RequestHead& head) { services->operations->leave(head); };
+    gate.settle = [services = m_services](const RequestHead& head, std::shared_ptr<const StoredResponse> response,
                       bool delivered) { services->operations->settle(head, response, delivered); };
     gate.finish = [services = m_services](
                       const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
--- a/src/node/EntryServer.cpp
+++ b/src/node/EntryServer.cpp
@@ -23,7 +23,7 @@
     , m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_balancer(std::move(balancer))
-    , m_client(task.context(), std::move(identity), settings.connectTimeout)
+    , m_client(task.context(), std::move(identity), settings.connectTimeout, settings.relayIdleTimeout)
     , m_maxConnections(std::max(1U, settings.maxCallerConnections / std::max(1U, settings.workers)))
 {
 }
--- a/src/node/RelayClient.cpp
+++ b/src/node/RelayClient.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t maxIdlePerPeer = 64;
+constexpr int idleChecksPerTimeout = 4;
 
 // State of one attempt to connect, until the peer's Hello came.
 struct Opening : std::enable_shared_from_this<Opening> {
@@ -186,9 +187,9 @@
     }
     refusal.requestId = m_head.requestId;
     if (closes) {
-        m_done = true;
         refusal.outcome
             = outcomeOf({ refusal.reason, refusal.dispatched, m_head.operationKind != OperationKind::None });
+        m_done = true;
         m_connection->close();
     } else
         finish();
@@ -220,10 +221,11 @@
 // [SECTION] RelayClient
 //-----------------------------------------------------------------------------
 
-RelayClient::RelayClient(GMainContext* context, RelayIdentity identity, Duration connectTimeout)
+RelayClient::RelayClient(GMainContext* context, RelayIdentity identity, Duration connectTimeout, Duration idleTimeout)
     : m_context(context)
     , m_identity(std::move(identity))
     , m_connectTimeout(connectTimeout)
+    , m_idleTimeout(idleTimeout)
 {
 }
 
@@ -300,7 +302,7 @@
         connect(address, std::move(done));
         return;
     }
-    auto connection = std::move(idle.back());
+    auto connection = std::move(idle.back().connection);
     idle.pop_back();
     connection->setHandlers({});
     done(std::move(connection));
@@ -355,16 +357,45 @@
     };
     // Whatever comes on an idle connection ends it.
     connection->setHandlers({ [drop](RelayMessage&&) { drop(); }, [drop](const Error&) { drop(); }, {} });
-    idle.push_back(std::move(connection));
+    idle.push_back({ std::move(connection), currentInstant() });
+    if (!m_idleTimer) {
+        m_idleTimer = callAfter(m_context, m_idleTimeout / idleChecksPerTimeout, [this] {
+            bool goesOn = closeOld();
+            if (!goesOn)
+                m_idleTimer.reset();
+            return goesOn;
+        });
+    }
+}
+
+bool RelayClient::closeOld()
+{
+    Instant now = currentInstant();
+    std::vector<std::shared_ptr<RelayConnection>> old;
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        auto& idle = it->second;
+        auto firstYoung = std::find_if(
+            idle.begin(), idle.end(), [&](const IdleConnection& held) { return now - held.since < m_idleTimeout; });
+        std::transform(idle.begin(), firstYoung, std::back_inserter(old),
+            [](IdleConnection& held) { return std::move(held.connection); });
+        idle.erase(idle.begin(), firstYoung);
+        it = idle.empty() ? m_idle.erase(it) : std::next(it);
+    }
+    for (const auto& connection : old) {
+        connection->setHandlers({});
+        connection->close();
+    }
+    return !m_idle.empty();
 }
 
 void RelayClient::dropIdle(const std::string& address, const RelayConnection* connection)
 {
     auto& idle = m_idle[address];
-    auto it = std::find_if(idle.begin(), idle.end(), [&](const auto& held) { return held.get() == connection; });
+    auto it = std::find_if(
+        idle.begin(), idle.end(), [&](const IdleConnection& held) { return held.connection.get() == connection; });
     if (it == idle.end())
         return;
-    auto dropped = std::move(*it);
+    auto dropped = std::move(it->connection);
     idle.erase(it);
     dropped->close();
 }
--- a/src/node/RelayClient.h
+++ b/src/node/RelayClient.h
@@ -52,7 +52,8 @@
 
 class RelayClient {
 public:
-    RelayClient(GMainContext*, RelayIdentity, Duration connectTimeout);
+    // An idle connection is closed after `idleTimeout`, so that the descriptors of a peak are given back.
+    RelayClient(GMainContext*, RelayIdentity, Duration connectTimeout, Duration idleTimeout);
     ~RelayClient();
 
     // Starts a call; no handler runs before it returns.
@@ -64,17 +65,24 @@
     size_t idleCount() const;
 
 private:
+    struct IdleConnection {
+        std::shared_ptr<RelayConnection> connection;
+        Instant since {};
+    };
     using Connected = std::function<void(Result<std::shared_ptr<RelayConnection>>)>;
 
     void acquire(const std::string& address, Connected);
     void connect(const std::string& address, Connected);
     void release(const std::string& address, std::shared_ptr<RelayConnection>);
     void dropIdle(const std::string& address, const RelayConnection*);
+    bool closeOld(); // true while connections are idle
 
     GMainContext* m_context;
     RelayIdentity m_identity;
     Duration m_connectTimeout;
-    std::map<std::string, std::vector<std::shared_ptr<RelayConnection>>> m_idle;
+    Duration m_idleTimeout;
+    std::map<std::string, std::vector<IdleConnection>> m_idle; // by address, the longest idle first
+    SourceHandle m_idleTimer; // runs while connections are idle
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/node/Settings.h
+++ b/src/node/Settings.h
@@ -39,6 +39,7 @@
     uint64_t maxOperationBodyBytes = 1 << 20; // a non-repeatable request is held whole before it runs
     Duration idleTimeout = 60s; // of a caller's connection
     Duration connectTimeout = 1s; // to an upstream or a node
+    Duration relayIdleTimeout = 30s; // of a connection to another node
 
     // [drain]
     Duration drainGrace = 1s; // time in which callers' connections are still accepted after SIGTERM
--- a/src/node/SettingsFile.cpp
+++ b/src/node/SettingsFile.cpp
@@ -119,6 +119,8 @@
     section.duration("idleTimeout", settings.idleTimeout, { 1s, 1h }, "Longest idle time of a caller's connection.");
     section.duration("connectTimeout", settings.connectTimeout, { 10ms, 60s },
         "Longest wait for a connection to an upstream or a node.");
+    section.duration("relayIdleTimeout", settings.relayIdleTimeout, { 1s, 1h },
+        "Longest idle time of a connection to another node.");
 }
 
 void describeDrain(auto& section, Settings& settings)
--- a/tests/PathOutcomeTests.cpp
+++ b/tests/PathOutcomeTests.cpp
@@ -409,3 +409,36 @@
     BOOST_TEST(silent.waitForClose());
     BOOST_TEST((ended.wait_for(20s) == std::future_status::ready));
 }
+
+// Guards against descriptors that stay with connections of a past peak.
+BOOST_AUTO_TEST_CASE(idleRelayConnectionsAreClosed)
+{
+    setLogLevel(LogLevel::Error);
+    ContextHandle context(g_main_context_new());
+    RelayIdentity identity { "a key for tests only", "node", randomId() };
+    RelayServer server(context.get(), identity,
+        { [](const std::shared_ptr<RelayExchange>& exchange) { exchange->refuse({}); }, {}, {} });
+    auto port = server.listen({});
+    BOOST_REQUIRE(port.has_value());
+    RelayClient client(context.get(), identity, 5s, 200ms);
+    std::string address = fmt::format("127.0.0.1:{}", port.value());
+    constexpr size_t peak = 5;
+    size_t refused = 0;
+    std::vector<std::shared_ptr<RelayCall>> calls;
+    for (size_t i = 0; i < peak; ++i) {
+        RequestHead head;
+        head.requestId = randomId();
+        calls.push_back(client.call(address, head,
+            { [](ResponseHead&&) {}, [](std::string&&) {}, [] {}, [&](Refusal&&) { ++refused; },
+                [](const Error&, Outcome) {}, [] {} }));
+    }
+    auto runUntil = [&](const std::function<bool()>& condition) {
+        auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < limit)
+            g_main_context_iteration(context.get(), FALSE);
+        return condition();
+    };
+    BOOST_TEST(runUntil([&] { return refused == peak; }));
+    BOOST_TEST(client.idleCount() == peak);
+    BOOST_TEST(runUntil([&] { return client.idleCount() == 0 && server.connectionCount() == 0; }));
+}
