--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -67,7 +67,8 @@
         m_audit = std::make_unique<AuditTrail<StoreClient>>(*m_store, m_settings.nodeName, firstBatch);
     }
     RelayIdentity identity { m_settings.fleetKey, m_settings.nodeName, m_incarnation };
-    m_relay = std::make_unique<RelayClient>(m_task.context(), identity, m_settings.connectTimeout);
+    m_relay = std::make_unique<RelayClient>(
+        m_task.context(), identity, m_settings.connectTimeout, m_settings.relayIdleTimeout);
     m_node = std::make_unique<Node>(
         m_settings, executorHooks(), [this] { return entryHooks(); }, m_incarnation);
     if (auto error = m_node->start())
@@ -139,6 +140,7 @@
     gate.begin = [services = m_services](const RequestHead& head, std::string_view body, auto decide) {
         services->operations->begin(head, body, std::move(decide));
     };
+    gate.leave = [services = m_services](const RequestHead& head) { services->operations->leave(head); };
     gate.settle
         = [services = m_services](const RequestHead& head, const std::shared_ptr<const StoredResponse>& response,
               bool delivered) { services->operations->settle(head, response, delivered); };
@@ -185,13 +187,10 @@
 // Retry budgets are per entry worker, so that no state is shared; the shares add up to the fleet's bound.
 EntryHooks ControlPlane::entryHooks()
 {
-    auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
-    auto budgetOf = [budgets](const std::string& service) -> RetryBudget& {
-        return budgets->try_emplace(service, RetryPolicy {}.budgetShare).first->second;
-    };
+    auto budgets = std::make_shared<RetryBudgets>();
     EntryHooks hooks;
-    hooks.offered = [budgetOf](const std::string& service) { budgetOf(service).offered(currentInstant()); };
-    hooks.allowRetry = [budgetOf](const std::string& service) { return budgetOf(service).take(currentInstant()); };
+    hooks.offered = [budgets](const Service& service) { budgets->of(service).offered(currentInstant()); };
+    hooks.allowRetry = [budgets](const Service& service) { return budgets->of(service).take(currentInstant()); };
     hooks.configurationDigest = [this] { return m_digest.load(std::memory_order_relaxed); };
     return hooks;
 }
