--- /dev/null
+++ b/tests/ShutdownProcessTests.cpp
@@ -0,0 +1,102 @@
+#define BOOST_TEST_MODULE ShutdownProcess
+#include "FleetHarness.h"
+#include "UpstreamStandIn.h"
+
+#include <future>
+
+using namespace Gooseberrymill::Testing;
+
+namespace {
+
+constexpr uint64_t largeBody = 64 << 20; // does not fit into the socket buffers on its way
+
+void checkNoFailures(const Load::Result& result)
+{
+    BOOST_TEST(result.failures.empty(), result.failures.size() << " failures, first: " << result.failures.front());
+    BOOST_TEST_MESSAGE(fmt::format("complete {}, not run {}", result.complete, result.notRun));
+}
+
+std::string digestOfPattern(uint64_t size)
+{
+    Digest digest;
+    constexpr uint64_t step = 1 << 20;
+    for (uint64_t at = 0; at < size; at += step)
+        digest.add(patternBytes(at, std::min(step, size - at)));
+    return digest.text();
+}
+
+} // namespace
+
+// Guards against callers that see a reset or a short body when the node they talk to shuts down.
+BOOST_AUTO_TEST_CASE(entryNodeUnderLoadInterruptsNoCaller)
+{
+    Fleet fleet;
+    Load load(fleet, { 0, 1, 2 }, 4);
+    BOOST_TEST(load.waitForMore(200));
+    fleet.node(0).process->signal(SIGTERM);
+    BOOST_TEST(fleet.node(0).process->exitCode().value_or(-1) == 0);
+    BOOST_TEST(load.waitForMore(100));
+    Load::Result result = load.stop();
+    checkNoFailures(result);
+    BOOST_TEST(result.refusedConnections == 4U); // the callers of the node that left
+}
+
+// Guards against requests lost between an entry and an executor that shuts down.
+BOOST_AUTO_TEST_CASE(executorNodeUnderLoadInterruptsNoCaller)
+{
+    Fleet fleet;
+    Load load(fleet, { 0, 1 }, 4, { { "Stand-In-Fault", "slow" }, { "Stand-In-Delay-Ms", "20" } });
+    BOOST_TEST(waitUntil([&] { return fleet.total(2) > 50; }));
+    fleet.node(2).process->signal(SIGTERM);
+    BOOST_TEST(fleet.node(2).process->exitCode().value_or(-1) == 0);
+    BOOST_TEST(load.waitForMore(100));
+    checkNoFailures(load.stop());
+}
+
+// Guards against a shutdown that does not wait for a slow request, at its entry and at its executor.
+BOOST_AUTO_TEST_CASE(stragglerIsAwaited)
+{
+    Fleet fleet;
+    auto straggler = std::async(std::launch::async, [&] {
+        return fleet.call(
+            0, "GET", "/read/straggler", { { "Stand-In-Fault", "slow" }, { "Stand-In-Delay-Ms", "6000" } });
+    });
+    size_t executor = fleet.waitForRun("/read/straggler");
+    std::vector<size_t> stopped { 0 };
+    if (executor)
+        stopped.push_back(executor);
+    for (size_t i : stopped)
+        fleet.node(i).process->signal(SIGTERM);
+    bool isEarly = false;
+    while (straggler.wait_for(10ms) != std::future_status::ready) {
+        for (size_t i : stopped)
+            isEarly = isEarly || !fleet.node(i).process->isRunning();
+    }
+    CallerResponse response = straggler.get();
+    BOOST_TEST((response.status == 200 && response.complete), describe(response));
+    BOOST_TEST(!isEarly, "a node ended before the request did");
+    for (size_t i : stopped)
+        BOOST_TEST(fleet.node(i).process->exitCode().value_or(-1) == 0);
+}
+
+// Guards against a streamed body that a shutdown cuts, at its entry and at its executor.
+BOOST_AUTO_TEST_CASE(largeBodyInFlightArrivesWhole)
+{
+    Fleet fleet;
+    HttpCaller caller(fleet.node(0).callers);
+    caller.sendHead("GET", "/read/large", { { "Stand-In-Size", std::to_string(largeBody) } });
+    size_t executor = fleet.waitForRun("/read/large");
+    std::vector<size_t> stopped { 0 };
+    if (executor)
+        stopped.push_back(executor);
+    for (size_t i : stopped)
+        fleet.node(i).process->signal(SIGTERM);
+    for (size_t i : stopped) // the nodes have seen the signal
+        fleet.node(i).process->waitForLog("node.stopping");
+    Digest digest;
+    CallerResponse response = caller.receive(false, [&](std::string_view bytes) { digest.add(bytes); });
+    BOOST_TEST((response.status == 200 && response.complete), describe(response));
+    BOOST_TEST(digest.text() == digestOfPattern(largeBody));
+    for (size_t i : stopped)
+        BOOST_TEST(fleet.node(i).process->exitCode().value_or(-1) == 0);
+}
--- a/tests/UpstreamStandIn.h
+++ b/tests/UpstreamStandIn.h
@@ -1,7 +1,12 @@
 // An HTTP upstream for tests. Faults are chosen by headers of the request:
-//   Stand-In-Fault: slow | status | cut | unfinished | close | shed | endless | hold
+//   Stand-In-Fault: slow | status | cut | unfinished | close | shed | endless | hold | crash
 //   Stand-In-Delay-Ms (slow), Stand-In-Status (status), Stand-In-Size (bytes of the response body)
 // Without a size the response names the method, the target and the digest of the request body.
+//
+// For tests of whole processes, the same port serves:
+//   GET  /.stand-in/counts                      {"total", "targets": {target: n}, "bodies": {digest: n}}
+//   POST /.stand-in/faults?fault=F&delayMs=N&status=N&size=N   for requests without a Stand-In-Fault header
+//   POST /.stand-in/state?value=STATE           changes the announced state
 #pragma once
 
 #include "node/GlibCalls.h"
@@ -11,6 +16,7 @@
 #include <condition_variable>
 #include <fmt/format.h>
 #include <map>
+#include <nlohmann/json.hpp>
 
 namespace Gooseberrymill::Testing {
 
@@ -84,6 +90,10 @@
         });
     }
 
+    // Called on the task of the upstream. Set before the first request.
+    std::function<void()> onCrash; // fault "crash"
+    std::function<void(const std::string&)> onState; // a new state to announce
+
     // Closes the listener and every connection at once, like a process that ends.
     void crash()
     {
@@ -128,6 +138,47 @@
         return value ? value : "";
     }
 
+    // The fault values of a request: its header, or the one set for all requests.
+    std::string option(SoupServerMessage* message, const char* headerName, const char* name) const
+    {
+        std::string value = header(message, headerName);
+        if (!value.empty())
+            return value;
+        auto it = m_faults.find(name);
+        return it == m_faults.end() ? "" : it->second;
+    }
+
+    static bool isControl(const std::string& target) { return target.starts_with("/.stand-in/"); }
+
+    std::string countsJson()
+    {
+        std::lock_guard lock(m_mutex);
+        size_t total = 0;
+        for (const auto& [target, n] : m_counts)
+            total += n;
+        return nlohmann::json { { "total", total }, { "targets", m_counts }, { "bodies", m_bodyCounts } }.dump();
+    }
+
+    void serveControl(SoupServerMessage* message, const std::string& path, GHashTable* query)
+    {
+        std::map<std::string, std::string> values;
+        GHashTableIter it;
+        gpointer key = nullptr;
+        gpointer value = nullptr;
+        if (query) {
+            g_hash_table_iter_init(&it, query);
+            while (g_hash_table_iter_next(&it, &key, &value))
+                values[static_cast<const char*>(key)] = static_cast<const char*>(value);
+        }
+        if (path == "/.stand-in/faults")
+            m_faults = values;
+        if (path == "/.stand-in/state" && onState)
+            onState(values["value"]);
+        std::string text = path == "/.stand-in/counts" ? countsJson() : "{}";
+        soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+        soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
+    }
+
     static void onEarly(
         SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/, GHashTable* /*query*/, gpointer data)
     {
@@ -145,6 +196,8 @@
         g_signal_connect(message, "got-chunk", G_CALLBACK(onChunk), exchange.get());
         g_signal_connect(message, "wrote-chunk", G_CALLBACK(onWrote), exchange.get());
         g_signal_connect(message, "finished", G_CALLBACK(onFinished), exchange.get());
+        if (isControl(exchange->target))
+            return;
         std::lock_guard lock(self->m_mutex);
         ++self->m_counts[exchange->target];
         self->m_lastHeaders.clear();
@@ -173,16 +226,26 @@
     }
 
     static void onRequest(
-        SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/, GHashTable* /*query*/, gpointer data)
+        SoupServer* /*server*/, SoupServerMessage* message, const char* path, GHashTable* query, gpointer data)
     {
         auto* self = static_cast<UpstreamStandIn*>(data);
         auto exchange = self->m_exchanges.at(message);
-        std::string fault = header(message, "Stand-In-Fault");
-        std::string size = header(message, "Stand-In-Size");
+        if (isControl(exchange->target)) {
+            self->serveControl(message, path, query);
+            return;
+        }
+        {
+            std::lock_guard lock(self->m_mutex);
+            ++self->m_bodyCounts[exchange->body.text()];
+        }
+        std::string fault = self->option(message, "Stand-In-Fault", "fault");
+        std::string size = self->option(message, "Stand-In-Size", "size");
         exchange->size = size.empty() ? 0 : std::stoull(size);
+        if (fault == "crash" && self->onCrash)
+            self->onCrash();
         if (fault == "slow") {
             soup_server_message_pause(message);
-            auto delay = std::chrono::milliseconds(std::stoll(header(message, "Stand-In-Delay-Ms")));
+            auto delay = std::chrono::milliseconds(std::stoll(self->option(message, "Stand-In-Delay-Ms", "delayMs")));
             exchange->timer = self->m_task.every(delay, [exchange] {
                 auto held = keepAlive(exchange);
                 held->upstream->respond(*held);
@@ -230,9 +293,11 @@
     void respond(Exchange& exchange)
     {
         SoupServerMessage* message = exchange.message.get();
-        std::string fault = header(message, "Stand-In-Fault");
+        std::string fault = exchange.upstream->option(message, "Stand-In-Fault", "fault");
         auto* headers = soup_server_message_get_response_headers(message);
-        guint status = fault == "shed" ? 503 : fault == "status" ? std::stoi(header(message, "Stand-In-Status")) : 200;
+        guint status = fault == "shed" ? 503
+            : fault == "status"        ? std::stoi(exchange.upstream->option(message, "Stand-In-Status", "status"))
+                                       : 200;
         soup_server_message_set_status(message, status, nullptr);
         if (fault == "shed")
             soup_message_headers_append(headers, "Retry-After", "3");
@@ -280,6 +345,8 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, size_t> m_counts;
+    std::map<std::string, size_t> m_bodyCounts; // by digest; requests whose body came whole
+    std::map<std::string, std::string> m_faults; // for requests without a fault of their own
     std::vector<Header> m_lastHeaders;
 };
 
