Delete claim objects after 7 days and bound the retention by it

Cause: claims stayed in the store for ever, and the configuration accepted a retention of 30 days although a key whose claim is deleted would be accepted again. A claim of a response too large to record was shown as unknown.

--- a/python/gooseberrymill.py
+++ b/python/gooseberrymill.py
@@ -261,7 +261,7 @@
     upstreams: int = _key("upstreams", _integer(1, _MAX_UPSTREAMS))
     slots: int = _key("slots", _integer(1, _MAX_SLOTS))
     floor_slots: int = _key("floorSlots", _integer(0, _MAX_UPSTREAMS * _MAX_SLOTS))
-    retention: str = _key("retention", _duration("1min", "30d"), "1d")
+    retention: str = _key("retention", _duration("1min", "7d"), "1d")
     detection: Detection = _table("detection", Detection)
     admission: Admission = _table("admission", Admission)
     retry: Retry = _table("retry", Retry)
--- a/src/core/ClaimLedger.cpp
+++ b/src/core/ClaimLedger.cpp
@@ -44,13 +44,21 @@
 
 Id128 claimAffinity(const Id128& operation) { return { 0, claimShard(operation, ClaimSettings {}.shards) }; }
 
+int64_t claimBucketAt(WallTime time, const ClaimSettings& settings)
+{
+    return time.time_since_epoch() / std::chrono::duration_cast<std::chrono::milliseconds>(settings.bucketWidth);
+}
+
+std::string claimBucketName(std::string_view service, uint32_t shard, int64_t bucket)
+{
+    return fmt::format("{}.{}.{}", service, shard, bucket);
+}
+
 std::string claimBucketName(std::string_view service, const Id128& operation, const ClaimSettings& settings)
 {
     auto time = uuidTime(operation);
     assert(time && "an idempotency key is a UUID version 7");
-    auto bucket
-        = time->time_since_epoch() / std::chrono::duration_cast<std::chrono::milliseconds>(settings.bucketWidth);
-    return fmt::format("{}.{}.{}", service, claimShard(operation, settings.shards), bucket);
+    return claimBucketName(service, claimShard(operation, settings.shards), claimBucketAt(*time, settings));
 }
 
 ClaimLedger::ClaimLedger(Id128 executor, ClaimSettings settings)
--- a/src/core/ClaimLedger.h
+++ b/src/core/ClaimLedger.h
@@ -68,7 +68,8 @@
 struct ClaimSettings {
     uint32_t shards = 64; // objects per service and time bucket
     Duration bucketWidth = 1h; // of the key's creation time
-    size_t maxClaimsPerBucket = 6000; // keeps the object below the store's limit of 1 MB
+    size_t maxClaimsPerBucket = 4000; // keeps the object below the store's limit of 1 MB
+    Duration keepFor = 7 * 24h; // objects are deleted this long after their bucket; no retention exceeds it
     Duration retryDelay = 200ms; // after the store could not be reached
     Duration markDelay = 1s; // outcome marks wait this long for a claim to share the write with
 };
@@ -82,6 +83,10 @@
 
 // Name of the object that holds the claim, "<service>.<shard>.<bucket>".
 std::string claimBucketName(std::string_view service, const Id128& operation, const ClaimSettings&);
+std::string claimBucketName(std::string_view service, uint32_t shard, int64_t bucket);
+
+// Number of the time bucket that holds keys created at `time`.
+int64_t claimBucketAt(WallTime time, const ClaimSettings&);
 
 class ClaimLedger {
 public:
--- a/src/core/OperationTable.cpp
+++ b/src/core/OperationTable.cpp
@@ -161,7 +161,7 @@
     case State::Open:
         return refuse(Outcome::NotRun, entry.reason);
     case State::Elsewhere:
-        return refuse(entry.status ? Outcome::Ran : Outcome::Unknown, RefusalReason::HeldElsewhere, entry.holder);
+        return refuse(entry.ranElsewhere ? Outcome::Ran : Outcome::Unknown, RefusalReason::HeldElsewhere, entry.holder);
     case State::Forgotten:
         return refuse(Outcome::Unknown, RefusalReason::HolderGone);
     default:
@@ -222,6 +222,7 @@
         }
         entry.holder = settled.holder.executor;
         entry.status = settled.holder.status;
+        entry.ranElsewhere = settled.holder.state == ClaimState::Ran;
         if (entry.holder != m_incarnation)
             entry.state = State::Elsewhere;
         else
--- a/src/core/OperationTable.h
+++ b/src/core/OperationTable.h
@@ -152,6 +152,7 @@
         std::shared_ptr<const RecordedAnswer> answer;
         uint16_t status = 0;
         RefusalReason reason = RefusalReason::None;
+        bool ranElsewhere = false; // the stored claim shows that its holder ran it
         bool resolved = false;
         Instant startBy {}; // tokens: last moment to start
         Instant keepUntil {};
--- a/src/node/ConfigurationFile.cpp
+++ b/src/node/ConfigurationFile.cpp
@@ -151,7 +151,8 @@
         "slots", service.slots, { 1, maxSlots }, Presence::Required, "Concurrent requests of one upstream.");
     section.integer("floorSlots", service.floorSlots, { 0, maxUpstreams * maxSlots }, Presence::Required,
         "Healthy capacity in slots that ejections must leave; at most upstreams x slots.");
-    section.duration("retention", service.retention, { 1min, 720h }, "How long operation keys and outcomes are kept.");
+    // Claim objects are deleted after 7 days (ClaimSettings::keepFor); a longer retention would accept a key again.
+    section.duration("retention", service.retention, { 1min, 168h }, "How long operation keys and outcomes are kept.");
     section.section("detection", [&](auto& detection) { describeDetection(detection, service.detection); });
     // Reading starts from defaults: a service with one slot cannot keep it for short requests.
     if (section.isReading)
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -63,6 +63,7 @@
 {
     if (!m_settings.storeUrl.empty()) {
         m_store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout);
+        m_sweeper = std::make_unique<ClaimSweeper<StoreClient>>(*m_store, ClaimSettings {});
         auto firstBatch = static_cast<uint64_t>(currentWallTime().time_since_epoch().count());
         m_audit = std::make_unique<AuditTrail<StoreClient>>(*m_store, m_settings.nodeName, firstBatch);
     }
@@ -253,6 +254,8 @@
     m_configuration->tick();
     if (m_audit)
         m_audit->tick(now);
+    if (m_sweeper && m_routes && m_role == WatchRole::Watcher)
+        m_sweeper->tick(*m_routes, currentWallTime());
     if (now >= m_nextSeeds && !m_isStopping) {
         m_nextSeeds = now + seedsPeriod;
         publishSeeds();
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -4,6 +4,7 @@
 
 #include "AdminServer.h"
 #include "AuditTrail.h"
+#include "ClaimSweeper.h"
 #include "ConfigurationDriver.h"
 #include "GossipSocket.h"
 #include "Metrics.h"
@@ -86,6 +87,7 @@
     std::unique_ptr<RelayClient> m_relay; // queries to peers
     MetricsRegistry m_metrics;
     std::unique_ptr<AuditTrail<StoreClient>> m_audit;
+    std::unique_ptr<ClaimSweeper<StoreClient>> m_sweeper;
     std::unique_ptr<Membership> m_membership;
     std::unique_ptr<GossipSocket> m_gossip;
     std::unique_ptr<ConfigurationDriver<StoreClient>> m_configuration;
--- a/tests/operator_library_tests.py
+++ b/tests/operator_library_tests.py
@@ -94,6 +94,7 @@
     ("duration without unit", one(retention="86400")),
     ("unknown unit", one(retention="1week")),
     ("duration out of range", one(retention="31d")),
+    ("longer than claims are kept", one(retention="8d")),
     ("duration that overflows", one(retention="99999999999999999999s")),
     ("ratio out of range", detection(slow_ratio=1.0)),
     ("not a number", detection(failure_share=float("nan"))),
