Refuse queries of death in the whole fleet

Cause: QueryOfDeathFilter was connected to nothing, so a caller that sent a request again to every node could crash every upstream, and the crashes counted as evidence against the upstreams.

The executor screens requests before they are claimed or queued and again before they are sent. A confirmed crash is no health evidence; its upstream is gone until it announces again. A request that ends normally clears its fingerprint on all nodes. Audit event, metrics and log line when a fingerprint starts to be refused. A refusal after an attempt that may have run says "unknown".

--- a/src/core/QueryOfDeathFilter.cpp
+++ b/src/core/QueryOfDeathFilter.cpp
@@ -25,13 +25,19 @@
 
 bool QueryOfDeathFilter::reported(const CrashReport& report, Instant now)
 {
+    Instant at = now - std::chrono::seconds(report.ageSeconds);
+    if (now - at > m_limits.memory)
+        return false;
     Suspect& suspect = m_suspects[report.fingerprint];
+    if (now - suspect.lastCrash > m_limits.memory)
+        suspect = {};
     bool isKnown = std::find(suspect.crashes.begin(), suspect.crashes.end(), report.crash) != suspect.crashes.end();
     if (isKnown)
         return false;
-    suspect.lastCrash = now;
-    if (suspect.crashes.size() < m_limits.maxCrashes)
-        suspect.crashes.push_back(report.crash);
+    if (suspect.crashes.size() >= std::max<size_t>(maxKnownCrashes, m_limits.maxCrashes))
+        return false;
+    suspect.lastCrash = std::max(suspect.lastCrash, at);
+    suspect.crashes.push_back(report.crash);
     if (m_suspects.size() > m_limits.maxFingerprints)
         dropOldest();
     return true;
@@ -48,12 +54,13 @@
     return n >= m_limits.maxCrashes ? n : 0;
 }
 
-std::vector<CrashReport> QueryOfDeathFilter::reports() const
+std::vector<CrashReport> QueryOfDeathFilter::reports(Instant now) const
 {
     std::vector<CrashReport> result;
     for (const auto& [fingerprint, suspect] : m_suspects) {
+        auto age = std::chrono::duration_cast<std::chrono::seconds>(now - suspect.lastCrash).count();
         for (const Id128& crash : suspect.crashes)
-            result.push_back({ crash, fingerprint });
+            result.push_back({ crash, fingerprint, static_cast<uint32_t>(std::max<int64_t>(age, 0)) });
     }
     return result;
 }
--- a/src/core/QueryOfDeathFilter.h
+++ b/src/core/QueryOfDeathFilter.h
@@ -19,8 +19,9 @@
 struct CrashReport {
     Id128 crash; // random, one per crash of an upstream; makes reports harmless to repeat
     Fingerprint fingerprint = 0;
+    uint32_t ageSeconds = 0; // since the crash, so that passing a report on does not make it last longer
     bool operator==(const CrashReport&) const = default;
-    template <class Archive> void serialize(Archive& archive) { archive(crash, fingerprint); }
+    template <class Archive> void serialize(Archive& archive) { archive(crash, fingerprint, ageSeconds); }
 };
 
 struct QueryOfDeathLimits {
@@ -46,14 +47,18 @@
     uint32_t refusedAfter(Fingerprint, Instant now) const;
 
     // All reports still held, for a node that has just joined.
-    std::vector<CrashReport> reports() const;
+    std::vector<CrashReport> reports(Instant now) const;
+
+    bool isSuspect(Fingerprint fingerprint) const { return m_suspects.contains(fingerprint); }
 
     void tick(Instant now);
     size_t size() const { return m_suspects.size(); }
 
 private:
+    static constexpr size_t maxKnownCrashes = 16; // counted for one fingerprint
+
     struct Suspect {
-        std::vector<Id128> crashes; // distinct, at most maxCrashes
+        std::vector<Id128> crashes; // distinct, at most maxKnownCrashes
         Instant lastCrash {};
     };
 
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -131,6 +131,7 @@
     hooks.started = [this](Task& task) { startExecutorServices(task); };
     hooks.stopped = [services = m_services] {
         services->timer.reset();
+        services->suspects.reset();
         services->operations.reset();
         services->store.reset();
     };
@@ -146,6 +147,7 @@
     hooks.token = [services = m_services](TokenQuery&& query, std::function<void(TokenReply)> reply) {
         reply(services->operations->issueToken(query));
     };
+    hooks.crashes = crashGate([services = m_services] { return services->suspects.get(); });
     hooks.sample = [services = m_services](const std::string& upstream, const Sample& sample, Instant now) {
         services->samples.push_back({ upstream, sample, now });
     };
@@ -164,6 +166,9 @@
         m_services->store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout);
     m_services->operations
         = std::make_unique<OperationService<StoreClient>>(m_incarnation, OperationLimits {}, m_services->store.get());
+    m_services->suspects = std::make_unique<CrashSuspects>(task,
+        RelayIdentity { m_settings.fleetKey, m_settings.nodeName, m_incarnation }, m_settings.connectTimeout,
+        crashSuspectsHooks());
     m_services->timer = task.every(samplePeriod, [this] {
         m_services->operations->tick();
         flushSamples();
@@ -171,6 +176,32 @@
     });
 }
 
+// Called while the control task waits for the executor to start, so the registry may be used. The functions run on the
+// executor's task.
+CrashSuspectsHooks ControlPlane::crashSuspectsHooks()
+{
+    Counter& crashes = m_metrics.counter("upstream_crashes_total", "Confirmed crashes of local upstreams.");
+    Counter& found = m_metrics.counter("query_of_death_found_total", "Requests that began to be refused.");
+    Counter& refusals = m_metrics.counter("query_of_death_refused_total", "Refusals of queries of death.");
+    CrashSuspectsHooks hooks;
+    hooks.crashed = [this, &crashes](const std::string& upstream) {
+        crashes.add();
+        m_task.post([this, upstream] {
+            if (auto it = m_supervisors.find(upstream); it != m_supervisors.end())
+                it->second->crashed(currentInstant());
+        });
+    };
+    hooks.refusing = [this, &found](const ClosedRequest& request, uint32_t count) {
+        found.add();
+        m_task.post([this, request, count] {
+            audit(AuditEventKind::QueryOfDeath, request.service, request.method + " " + request.target,
+                fmt::format("refused after {} crashes", count));
+        });
+    };
+    hooks.refused = [&refusals] { refusals.add(); };
+    return hooks;
+}
+
 void ControlPlane::flushSamples()
 {
     auto unresolved = m_services->operations->unresolved();
@@ -290,9 +321,30 @@
 void ControlPlane::refreshCandidates()
 {
     m_node->setCandidates(std::make_shared<const CandidateList>(makeCandidates(*m_membership)));
+    m_node->postExecutor([services = m_services, peers = crashPeers()] {
+        if (services->suspects)
+            services->suspects->setPeers(peers);
+    });
     refreshWatchRole();
 }
 
+CrashSuspects::Peers ControlPlane::crashPeers() const
+{
+    CrashSuspects::Peers peers;
+    for (const auto& [name, supervisor] : m_supervisors)
+        peers[supervisor->announcement().service];
+    m_membership->forEach([&](const NodeRecord& record) {
+        bool isLive = record.status == NodeStatus::Alive || record.status == NodeStatus::Suspect;
+        if (!isLive || record.incarnation == m_incarnation)
+            return;
+        for (const UpstreamRecord& it : record.upstreams) {
+            if (auto found = peers.find(it.service); found != peers.end())
+                found->second.insert(record.relayAddress);
+        }
+    });
+    return peers;
+}
+
 void ControlPlane::refreshWatchRole()
 {
     WatchRole role = m_isStopping ? WatchRole::None : chooseWatchRole(*m_membership);
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -5,6 +5,7 @@
 #include "AdminServer.h"
 #include "AuditTrail.h"
 #include "ConfigurationDriver.h"
+#include "CrashSuspects.h"
 #include "GossipSocket.h"
 #include "Metrics.h"
 #include "Node.h"
@@ -42,6 +43,7 @@
     struct ExecutorServices {
         std::unique_ptr<StoreClient> store;
         std::unique_ptr<OperationService<StoreClient>> operations;
+        std::unique_ptr<CrashSuspects> suspects;
         SourceHandle timer;
         std::vector<UpstreamSample> samples; // not yet posted
     };
@@ -55,6 +57,7 @@
     std::optional<Error> startGossip();
     std::optional<Error> startAdmin();
     void startExecutorServices(Task&);
+    CrashSuspectsHooks crashSuspectsHooks();
     void flushSamples();
 
     // [SECTION] Events
@@ -62,6 +65,7 @@
     void sendGossip();
     void onMembershipChanges();
     void refreshCandidates();
+    CrashSuspects::Peers crashPeers() const;
     void refreshWatchRole();
     void onRoutes(const std::shared_ptr<const RouteTable>&);
     void onSamples(const std::vector<UpstreamSample>&);
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -517,6 +517,7 @@
         respondRefusal(refusal);
         return;
     }
+    m_mayHaveRun = m_mayHaveRun || refusal.outcome != Outcome::NotRun;
     m_backlog.insert(0, std::exchange(m_kept, {}));
     BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
         m_plan->tried() };
@@ -602,8 +603,11 @@
     respondRefusal(refusal);
 }
 
-void EntryExchange::respondRefusal(const Refusal& refusal)
+void EntryExchange::respondRefusal(const Refusal& last)
 {
+    Refusal refusal = last;
+    if (m_mayHaveRun && refusal.outcome == Outcome::NotRun)
+        refusal.outcome = Outcome::Unknown;
     constexpr uint32_t millisPerSecond = 1000;
     nlohmann::ordered_json body { { "outcome", toString(refusal.outcome) }, { "reason", toString(refusal.reason) },
         { "step", refusal.step }, { "peer", refusal.peer }, { "runs", refusal.runs },
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -88,6 +88,7 @@
     bool m_complete = false;
     bool m_answered = false; // a local response was written
     bool m_followed = false;
+    bool m_mayHaveRun = false; // an earlier attempt ended without a known outcome
     bool m_paused = false;
     bool m_finished = false;
 };
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -40,7 +40,7 @@
               [this](TokenQuery&& query, std::function<void(TokenReply)> reply) {
                   onToken(std::move(query), std::move(reply));
               },
-              m_hooks.configuration })
+              m_hooks.configuration, m_hooks.crashes.notice })
 {
 }
 
@@ -58,6 +58,7 @@
     auto& upstream = m_upstreams[endpoint.name];
     bool isNew
         = !upstream || upstream->endpoint.address != endpoint.address || upstream->endpoint.service != endpoint.service;
+    bool isChanged = isNew || upstream->endpoint.state != endpoint.state;
     if (isNew) {
         if (upstream) {
             upstream->endpoint.state = UpstreamState::Gone;
@@ -73,6 +74,8 @@
     }
     upstream->endpoint = std::move(endpoint);
     auto held = upstream;
+    if (isChanged && m_hooks.crashes.upstreamChanged)
+        m_hooks.crashes.upstreamChanged(held->endpoint);
     if (refusalOf(held->endpoint.state) != RefusalReason::None)
         refuseWaiting(*held);
     else
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -52,13 +52,34 @@
     std::function<void(const RequestHead&, const Refusal&)> finish;
 };
 
+// A request whose connection the upstream closed before the response was complete.
+struct ClosedRequest {
+    std::string upstream;
+    std::string address; // of the upstream, "ip:port"
+    std::string service;
+    std::string method;
+    std::string target;
+    Fingerprint fingerprint = 0;
+    Instant startedAt {};
+};
+
+// Screening of queries of death. Empty functions let every request run.
+struct CrashGate {
+    // Asked before a request is claimed or queued, and again before it is sent to the upstream.
+    std::function<std::optional<Refusal>(const RequestHead&, Fingerprint)> screen;
+    // `settled` runs once, now or later: the caller gets its answer and may send the request again.
+    std::function<void(ClosedRequest, std::function<void(bool isCrash)> settled)> closed;
+    std::function<void(const RequestHead&, Fingerprint)> succeeded; // the response was complete
+    std::function<void(const UpstreamEndpoint&)> upstreamChanged; // its state or address
+    RelayServer::Answer<CrashNotice, CrashNoticeReply> notice;
+};
+
 struct ExecutorHooks {
     std::function<void(Task&)> started; // on the executor's task, before it listens
     std::function<void()> stopped; // on the executor's task, after the last request
     OperationGate operations;
     std::function<void(const std::string& upstream, const Sample&, Instant)> sample; // health evidence
-    std::function<std::optional<Refusal>(const RequestHead&)> screen; // refuses a query of death
-    std::function<void(const RequestHead&)> crashed; // the upstream closed without a response
+    CrashGate crashes;
     RelayServer::Answer<TokenQuery, TokenReply> token; // empty: a random operation of this incarnation
     RelayServer::Answer<ConfigurationQuery, ConfigurationReply> configuration;
 };
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -1,5 +1,7 @@
 #include "ExecutorJob.h"
 
+#include "RequestFingerprint.h"
+
 #include <algorithm>
 
 namespace Gooseberrymill {
@@ -78,13 +80,26 @@
         refuse(Outcome::NotRun, reason, "executor.upstream");
         return false;
     }
-    if (auto refusal = m_executor.m_hooks.screen ? m_executor.m_hooks.screen(head()) : std::nullopt) {
-        refuse(std::move(*refusal));
-        return false;
-    }
     return true;
 }
 
+bool ExecutorJob::screen()
+{
+    auto& ask = m_executor.m_hooks.crashes.screen;
+    auto refusal = ask ? ask(head(), m_fingerprint) : std::nullopt;
+    if (!refusal)
+        return true;
+    if (m_gateOpen && m_executor.m_hooks.operations.finish) {
+        // The caller hears "unknown" of an operation, but this claim was not used.
+        Refusal unused = *refusal;
+        unused.outcome = Outcome::NotRun;
+        m_gateOpen = false;
+        m_executor.m_hooks.operations.finish(head(), unused);
+    }
+    refuse(std::move(*refusal));
+    return false;
+}
+
 void ExecutorJob::receive()
 {
     std::weak_ptr<ExecutorJob> weak = weak_from_this();
@@ -143,6 +158,9 @@
 
 void ExecutorJob::askGate()
 {
+    m_fingerprint = fingerprintOf(head(), m_holdsBody ? std::string_view(m_body) : std::string_view());
+    if (!head().inquiry && !screen())
+        return;
     auto& gate = m_executor.m_hooks.operations;
     if (!isOperation() || !gate.begin) {
         if (head().inquiry)
@@ -201,7 +219,14 @@
 
 void ExecutorJob::dispatch()
 {
+    // Crashes may have become known while the request waited.
+    if (!screen()) {
+        m_upstream->queue->finish(m_ticket, {}, false, currentInstant());
+        m_executor.pump(m_upstream);
+        return;
+    }
     m_hasSlot = true;
+    m_dispatchedAt = currentInstant();
     UpstreamRequest request { head().requestId, head().method, head().target, head().headers, m_route->repeatable,
         head().bodyLength, std::nullopt, std::max(m_deadline - currentInstant(), Duration {}) };
     if (m_holdsBody) {
@@ -271,6 +296,8 @@
 void ExecutorJob::onResponseEnd()
 {
     leaveSlot(judge(), true);
+    if (m_executor.m_hooks.crashes.succeeded)
+        m_executor.m_hooks.crashes.succeeded(head(), m_fingerprint);
     if (m_gateOpen && m_executor.m_hooks.operations.settle) {
         if (m_stored)
             m_stored->head = m_response;
@@ -298,11 +325,30 @@
 }
 
 void ExecutorJob::onFailure(UpstreamFailure&& failure)
+{
+    Duration length = m_call->serviceTime();
+    bool isClosed
+        = failure.reason == RefusalReason::UpstreamCrashed || failure.reason == RefusalReason::UpstreamTruncated;
+    leaveSlot(std::nullopt, false);
+    if (!isClosed || !m_executor.m_hooks.crashes.closed) {
+        finishFailure(failure, length, false);
+        return;
+    }
+    const UpstreamEndpoint& endpoint = m_upstream->endpoint;
+    ClosedRequest request { endpoint.name, endpoint.address, endpoint.service, head().method, head().target,
+        m_fingerprint, m_dispatchedAt };
+    m_executor.m_hooks.crashes.closed(
+        std::move(request), [weak = weak_from_this(), failure = std::move(failure), length](bool isCrash) {
+            if (auto self = weak.lock(); self && !self->m_ended)
+                self->finishFailure(failure, length, isCrash);
+        });
+}
+
+void ExecutorJob::finishFailure(const UpstreamFailure& failure, Duration length, bool isCrash)
 {
     bool cut = failure.reason == RefusalReason::UpstreamTruncated || failure.reason == RefusalReason::UpstreamInvalid;
-    leaveSlot(cut ? SampleKind::Wrong : SampleKind::Failed, false);
-    if (failure.reason == RefusalReason::UpstreamCrashed && m_executor.m_hooks.crashed)
-        m_executor.m_hooks.crashed(head());
+    // A crash is the fault of one of the requests that were running, not of the upstream.
+    recordSample(isCrash ? SampleKind::Cancelled : cut ? SampleKind::Wrong : SampleKind::Failed, length);
     Refusal refusal;
     refusal.outcome = failure.started ? Outcome::Unknown : Outcome::NotRun;
     refusal.reason = failure.reason;
@@ -342,7 +388,7 @@
     refuse(started ? Outcome::Unknown : Outcome::NotRun, RefusalReason::DeadlineExceeded, "executor.deadline");
 }
 
-void ExecutorJob::leaveSlot(SampleKind kind, bool completed)
+void ExecutorJob::leaveSlot(std::optional<SampleKind> kind, bool completed)
 {
     Instant now = currentInstant();
     if (m_ticket && !m_hasSlot) {
@@ -353,8 +399,15 @@
         return;
     Duration length = m_call->serviceTime();
     m_upstream->queue->finish(m_ticket, length, completed, now);
+    if (kind)
+        recordSample(*kind, length);
+}
+
+void ExecutorJob::recordSample(SampleKind kind, Duration length)
+{
     if (m_executor.m_hooks.sample && m_call->isStarted())
-        m_executor.m_hooks.sample(m_upstream->endpoint.name, { kind, workKeyOf(*m_service, *m_route), length }, now);
+        m_executor.m_hooks.sample(
+            m_upstream->endpoint.name, { kind, workKeyOf(*m_service, *m_route), length }, currentInstant());
 }
 
 void ExecutorJob::refuse(Outcome outcome, RefusalReason reason, const char* step, Duration retryAfter)
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -22,6 +22,7 @@
     bool isOperation() const { return head().operationKind != OperationKind::None; }
     bool findTarget();
     bool checkTarget();
+    bool screen(); // false: refused as a query of death
     void receive();
     void onChunk(std::string&&);
     void onBodyEnd();
@@ -33,10 +34,12 @@
     void onResponseChunk(std::string&&);
     void onResponseEnd();
     void onFailure(UpstreamFailure&&);
+    void finishFailure(const UpstreamFailure&, Duration length, bool isCrash);
+    void recordSample(SampleKind, Duration length);
     void onCancelled();
     void streamHead();
     void readNext();
-    void leaveSlot(SampleKind, bool completed);
+    void leaveSlot(std::optional<SampleKind>, bool completed); // without a kind the sample follows
     SampleKind judge() const;
     void end();
 
@@ -52,6 +55,8 @@
     std::string m_body; // the request, or what of it came before the dispatch
     bool m_holdsBody = false; // the request is dispatched only when it is here whole
     bool m_bodyEnded = false;
+    Fingerprint m_fingerprint = 0;
+    Instant m_dispatchedAt {};
     bool m_hasSlot = false;
     bool m_gateOpen = false; // the gate let the operation run and waits for its end
     bool m_callerGone = false;
--- a/src/node/RelayFrames.cpp
+++ b/src/node/RelayFrames.cpp
@@ -148,6 +148,7 @@
 constexpr size_t framedBytes = frameHeaderBytes - lengthBytes + macBytes; // counted by the length, besides the payload
 constexpr size_t sequenceOffset = lengthBytes + 1;
 constexpr size_t maxHeadBytes = 128 << 10;
+constexpr size_t maxCrashBytes = maxCrashReports * (sizeof(Id128) + sizeof(uint32_t) + 2 * sizeof(Fingerprint)) + 1024;
 
 constexpr std::array<size_t, std::variant_size_v<RelayMessage>> payloadLimits {
     1024, // hello
@@ -161,6 +162,8 @@
     128, // tokenReply
     256 << 10, // configurationQuery
     8 << 20, // configurationReply
+    maxCrashBytes, // crashNotice
+    maxCrashBytes, // crashNoticeReply
 };
 
 void putNumber(std::string& out, size_t at, uint64_t value, size_t bytes)
@@ -207,6 +210,14 @@
         && isAtMost(refusal.reason, RefusalReason::Overloaded);
 }
 bool isValid(const BodyChunk& chunk) { return chunk.bytes.size() <= maxChunkBytes; }
+bool isValid(const CrashNotice& notice)
+{
+    return notice.reports.size() <= maxCrashReports && notice.cleared.size() <= maxCrashReports;
+}
+bool isValid(const CrashNoticeReply& reply)
+{
+    return reply.reports.size() <= maxCrashReports && reply.cleared.size() <= maxCrashReports;
+}
 template <typename T> bool isValid(const T& /*message*/) { return true; }
 
 template <size_t index = 0> RelayMessage emptyMessage(size_t wanted)
--- a/src/node/RelayFrames.h
+++ b/src/node/RelayFrames.h
@@ -6,6 +6,7 @@
 // nonces and the direction, so a frame is valid in one connection, one direction and one position only.
 #pragma once
 
+#include "core/QueryOfDeathFilter.h"
 #include "core/RelayMessages.h"
 #include "FleetAuth.h"
 
@@ -30,9 +31,27 @@
     template <class Archive> void serialize(Archive& archive) { archive(requestId); }
 };
 
+// Tells a node that runs the same service which requests were running when upstreams crashed, and which suspects
+// ended normally since. Harmless to repeat.
+struct CrashNotice {
+    std::string service;
+    std::vector<CrashReport> reports; // at most maxCrashReports
+    std::vector<Fingerprint> cleared; // at most maxCrashReports
+    bool wantsReports = false; // of a node that has just started
+    template <class Archive> void serialize(Archive& archive) { archive(service, reports, cleared, wantsReports); }
+};
+constexpr size_t maxCrashReports = 1024;
+
+// Acknowledges a CrashNotice.
+struct CrashNoticeReply {
+    std::vector<CrashReport> reports; // when they were wanted
+    std::vector<Fingerprint> cleared; // reported requests that ended normally at this node a short time ago
+    template <class Archive> void serialize(Archive& archive) { archive(reports, cleared); }
+};
+
 // The kind of a frame is the index of its message plus one.
 using RelayMessage = std::variant<Hello, RequestHead, BodyChunk, BodyEnd, ResponseHead, Refusal, Cancel, TokenQuery,
-    TokenReply, ConfigurationQuery, ConfigurationReply>;
+    TokenReply, ConfigurationQuery, ConfigurationReply, CrashNotice, CrashNoticeReply>;
 
 enum class RelaySide : uint8_t { Client, Server };
 
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -225,6 +225,8 @@
         m_handlers.token(std::move(*token), reply);
     else if (auto* query = std::get_if<ConfigurationQuery>(&message); query && m_handlers.configuration)
         m_handlers.configuration(std::move(*query), reply);
+    else if (auto* notice = std::get_if<CrashNotice>(&message); notice && m_handlers.crashes)
+        m_handlers.crashes(std::move(*notice), reply);
     else
         drop(peer);
 }
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -56,6 +56,7 @@
         std::function<void(std::shared_ptr<RelayExchange>)> request;
         Answer<TokenQuery, TokenReply> token;
         Answer<ConfigurationQuery, ConfigurationReply> configuration;
+        Answer<CrashNotice, CrashNoticeReply> crashes;
     };
 
     RelayServer(GMainContext*, RelayIdentity, Handlers);
--- a/src/node/UpstreamSupervisor.h
+++ b/src/node/UpstreamSupervisor.h
@@ -84,6 +84,13 @@
 
     void record(const Sample& sample, Instant now) { m_monitor.record(sample, now); }
 
+    // The upstream crashed. It is gone until it announces again, and then starts cold without earlier evidence.
+    void crashed(Instant now)
+    {
+        m_announcement.state = UpstreamState::Gone;
+        update(now);
+    }
+
     void tick(Instant now)
     {
         if (m_announcement.state != UpstreamState::Gone && now - m_lastHeartbeat > heartbeatLimit) {
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -51,6 +51,15 @@
     return head;
 }
 
+// The largest one that may be sent.
+CrashNotice fullNotice()
+{
+    CrashNotice notice { "shop", {}, std::vector<Fingerprint>(maxCrashReports, 5), true };
+    for (uint64_t i = 0; i < maxCrashReports; ++i)
+        notice.reports.push_back({ { i, 1 }, i, 2 });
+    return notice;
+}
+
 std::vector<RelayMessage> sampleMessages()
 {
     ResponseHead response;
@@ -63,7 +72,8 @@
     reply.newer.push_back({ "main", 4, "change", "author", std::string(100000, 'x') });
     return { sampleHead(), BodyChunk { std::string(maxChunkBytes, 'b') }, BodyEnd {}, response, refusal,
         Cancel { { 1, 1 } }, TokenQuery { { 2, 2 }, "shop" }, TokenReply { { 3, 3 }, { 4, 4 }, { 5, 5 }, 6 },
-        ConfigurationQuery { { { "main", 3, "", "", "" } } }, reply };
+        ConfigurationQuery { { { "main", 3, "", "", "" } } }, reply, fullNotice(),
+        CrashNoticeReply { { { { 6, 7 }, 8, 9 } }, { 10 } } };
 }
 
 void putNumber(std::string& out, uint64_t value, size_t bytes)
@@ -257,7 +267,7 @@
     BOOST_TEST((decodeForged(4, flag + "x") == ErrorCode::Malformed)); // bytes after BodyEnd
     BOOST_TEST((decodeForged(4, std::string(1, '\0')) == ErrorCode::Malformed));
     BOOST_TEST((decodeForged(4, "") == ErrorCode::Malformed));
-    BOOST_TEST((decodeForged(12, flag) == ErrorCode::Malformed));
+    BOOST_TEST((decodeForged(std::variant_size_v<RelayMessage> + 1, flag) == ErrorCode::Malformed));
     BOOST_TEST((decodeForged(0, flag) == ErrorCode::Malformed));
     std::string refusal = flag + std::string(16, '\0') + '\x07'; // outcome 7
     refusal += std::string(1 + 4 + 4 + 8 + 8 + 16 + 12 + 1, '\0');
@@ -270,6 +280,32 @@
     BOOST_TEST(message.has_value());
 }
 
+// Guards against a crash notice that makes a node remember more than it may, and against old kinds being renumbered,
+// which would break nodes of the release before.
+BOOST_AUTO_TEST_CASE(boundsCrashNotices)
+{
+    constexpr uint8_t noticeKind = 12;
+    static_assert(std::is_same_v<std::variant_alternative_t<noticeKind - 1, RelayMessage>, CrashNotice>);
+    static_assert(std::is_same_v<std::variant_alternative_t<10, RelayMessage>, ConfigurationReply>);
+    std::string flag(1, '\x01');
+    std::string service = littleEndian(0);
+    std::string huge = littleEndian(uint64_t(1) << 60);
+    BOOST_TEST((decodeForged(noticeKind, flag + service + huge) == ErrorCode::Malformed)); // reports
+    BOOST_TEST((decodeForged(noticeKind, flag + service + littleEndian(0) + huge) == ErrorCode::Malformed)); // cleared
+    BOOST_TEST((decodeForged(noticeKind + 1, flag + huge) == ErrorCode::Malformed));
+    std::string many = littleEndian(maxCrashReports + 1) + std::string((maxCrashReports + 1) * 8, 'x');
+    std::string tooMany = flag + service + littleEndian(0) + many + '\0';
+    BOOST_TEST((decodeForged(noticeKind, tooMany) == ErrorCode::Malformed));
+    std::string notFlag = flag + service + littleEndian(0) + littleEndian(0) + '\x02';
+    BOOST_TEST((decodeForged(noticeKind, notFlag) == ErrorCode::Malformed));
+    Pair pair;
+    CrashNotice large = fullNotice();
+    large.reports.resize(2 * maxCrashReports);
+    std::string out;
+    BOOST_TEST((pair.client.encode(large, out) == ErrorCode::TooLarge));
+    BOOST_TEST(out.empty());
+}
+
 // Guards against a crash or a message out of random bytes, both before and after the Hello.
 RC_BOOST_PROP(survivesRandomBytes, (const std::string& bytes, bool established))
 {
@@ -286,7 +322,7 @@
 // Guards against a crash in the decoder of payloads, which an authenticated but faulty peer reaches.
 RC_BOOST_PROP(survivesRandomPayloads, (const std::vector<uint8_t>& bytes))
 {
-    auto kind = *rc::gen::inRange<int>(2, 12);
+    auto kind = *rc::gen::inRange<int>(2, std::variant_size_v<RelayMessage> + 1);
     Pair pair;
     std::string payload(1, '\x01');
     payload.append(bytes.begin(), bytes.end());
--- a/tests/TestFleet.h
+++ b/tests/TestFleet.h
@@ -57,6 +57,7 @@
     uint32_t workers = 2;
     Duration deadline = 30s;
     ExecutorHooks executorHooks {};
+    std::function<ExecutorHooks(size_t node)> makeExecutorHooks {}; // in place of executorHooks
     EntryHooks entryHooks {};
     std::function<void(Settings&)> adjust {};
 };
@@ -121,8 +122,9 @@
         if (options.adjust)
             options.adjust(settings);
         member.upstream = std::make_unique<UpstreamStandIn>();
-        member.node
-            = std::make_unique<Node>(settings, options.executorHooks, [hooks = options.entryHooks] { return hooks; });
+        member.node = std::make_unique<Node>(settings,
+            options.makeExecutorHooks ? options.makeExecutorHooks(i) : options.executorHooks,
+            [hooks = options.entryHooks] { return hooks; });
         auto error = member.node->start();
         g_assert(!error);
         member.endpoint
--- a/tests/UpstreamStandIn.h
+++ b/tests/UpstreamStandIn.h
@@ -1,5 +1,6 @@
 // An HTTP upstream for tests. Faults are chosen by headers of the request:
-//   Stand-In-Fault: slow | status | cut | unfinished | close | shed | endless | hold
+//   Stand-In-Fault: slow | status | cut | unfinished | close | shed | endless | hold | crash
+//   (crash: the listener and all connections close; the upstream starts again on its port after a while)
 //   Stand-In-Delay-Ms (slow), Stand-In-Status (status), Stand-In-Size (bytes of the response body)
 // Without a size the response names the method, the target and the digest of the request body.
 #pragma once
@@ -8,6 +9,7 @@
 #include "node/HttpHeaders.h"
 #include "node/Node.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <fmt/format.h>
 #include <map>
@@ -49,7 +51,10 @@
 
     ~UpstreamStandIn()
     {
-        runOn(m_task, [&] { stopListening(); });
+        runOn(m_task, [&] {
+            m_restart.reset();
+            stopListening();
+        });
     }
 
     std::string address() const { return fmt::format("127.0.0.1:{}", m_port); }
@@ -68,6 +73,16 @@
         return m_changed.wait_for(lock, limit, [&] { return m_counts[target] >= n; });
     }
 
+    // How often the fault "crash" ended the upstream. Several requests may end in one crash.
+    size_t crashes() const { return m_crashes; }
+
+    // Waits until the upstream has started again after the fault "crash".
+    bool waitForRestart(std::chrono::seconds limit = std::chrono::seconds(20))
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, limit, [&] { return m_isListening; });
+    }
+
     // Names and values of the last request's headers.
     std::vector<Header> lastHeaders()
     {
@@ -116,12 +131,37 @@
     void stopListening()
     {
         m_held.clear();
+        for (auto& [message, exchange] : m_exchanges)
+            exchange->timer.reset();
         if (m_server)
             soup_server_disconnect(m_server.get());
         m_server.reset();
         m_exchanges.clear();
     }
 
+    void crashAndRestart()
+    {
+        // Long enough for a busy machine to try a connection before it.
+        constexpr Duration restartDelay = 300ms;
+        if (!m_server)
+            return; // an earlier request crashed it
+        ++m_crashes;
+        setListening(false);
+        stopListening();
+        m_restart = m_task.every(restartDelay, [this] {
+            listen(m_port);
+            setListening(true);
+            return false;
+        });
+    }
+
+    void setListening(bool isListening)
+    {
+        std::lock_guard lock(m_mutex);
+        m_isListening = isListening;
+        m_changed.notify_all();
+    }
+
     static std::string header(SoupServerMessage* message, const char* name)
     {
         const char* value = soup_message_headers_get_one(soup_server_message_get_request_headers(message), name);
@@ -168,6 +208,10 @@
     {
         auto* self = static_cast<Exchange*>(data)->upstream;
         g_signal_handlers_disconnect_by_data(message, data);
+        auto it = self->m_exchanges.find(message);
+        auto exchange = it == self->m_exchanges.end() ? nullptr : it->second;
+        if (exchange)
+            exchange->timer.reset();
         std::erase_if(self->m_held, [&](const auto& held) { return held.get() == data; });
         self->m_exchanges.erase(message);
     }
@@ -193,7 +237,10 @@
             self->m_held.push_back(exchange);
         } else if (fault == "close")
             takeOver(*exchange, "");
-        else if (fault == "cut")
+        else if (fault == "crash") {
+            soup_server_message_pause(message);
+            self->m_task.post([self] { self->crashAndRestart(); });
+        } else if (fault == "cut")
             takeOver(*exchange, cutResponse(exchange->size));
         else if (fault == "unfinished")
             takeOver(*exchange, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n");
@@ -274,6 +321,9 @@
 
     Task m_task;
     uint16_t m_port = 0;
+    bool m_isListening = true; // guarded by m_mutex
+    std::atomic<size_t> m_crashes { 0 };
+    SourceHandle m_restart;
     ObjectHandle<SoupServer> m_server;
     std::map<SoupServerMessage*, std::shared_ptr<Exchange>> m_exchanges;
     std::vector<std::shared_ptr<Exchange>> m_held;
