--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "AuditTrail.h"
 #include "ClaimSweeper.h"
 #include "ConfigurationDriver.h"
+#include "CrashSuspects.h"
 #include "GossipSocket.h"
 #include "Metrics.h"
 #include "Node.h"
@@ -43,6 +44,7 @@
     struct ExecutorServices {
         std::unique_ptr<StoreClient> store;
         std::unique_ptr<OperationService<StoreClient>> operations;
+        std::unique_ptr<CrashSuspects> suspects;
         SourceHandle timer;
         std::vector<UpstreamSample> samples; // not yet posted
     };
@@ -56,6 +58,7 @@
     std::optional<Error> startGossip();
     std::optional<Error> startAdmin();
     void startExecutorServices(Task&);
+    CrashSuspectsHooks crashSuspectsHooks();
     void flushSamples();
 
     // [SECTION] Events
@@ -63,6 +66,7 @@
     void sendGossip();
     void onMembershipChanges();
     void refreshCandidates();
+    CrashSuspects::Peers crashPeers() const;
     void refreshWatchRole();
     void onRoutes(const std::shared_ptr<const RouteTable>&);
     void onSamples(const std::vector<UpstreamSample>&);
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -42,7 +42,7 @@
               [this](TokenQuery&& query, std::function<void(TokenReply)> reply) {
                   onToken(std::move(query), std::move(reply));
               },
-              m_hooks.configuration })
+              m_hooks.configuration, m_hooks.crashes.notice })
 {
 }
 
@@ -78,6 +78,7 @@
     auto& upstream = m_upstreams[endpoint.name];
     bool isNew
         = !upstream || upstream->endpoint.address != endpoint.address || upstream->endpoint.service != endpoint.service;
+    bool isChanged = isNew || upstream->endpoint.state != endpoint.state;
     if (isNew) {
         if (upstream) {
             upstream->endpoint.state = UpstreamState::Gone;
@@ -96,6 +97,8 @@
     if (slotsChanged)
         configure(*upstream);
     auto held = upstream;
+    if (isChanged && m_hooks.crashes.upstreamChanged)
+        m_hooks.crashes.upstreamChanged(held->endpoint);
     if (refusalOf(held->endpoint.state) != RefusalReason::None)
         refuseWaiting(*held);
     else
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -23,6 +23,7 @@
     bool isOperation() const { return head().operationKind != OperationKind::None; }
     bool findTarget();
     bool checkTarget();
+    bool screen(); // false: refused as a query of death
     void receive();
     void onChunk(std::string&&);
     void onBodyEnd();
@@ -34,11 +35,13 @@
     void onResponseChunk(std::string&&);
     void onResponseEnd();
     void onFailure(UpstreamFailure&&);
+    void finishFailure(const UpstreamFailure&, Duration length, bool isCrash);
+    void recordSample(SampleKind, Duration length);
     void onCancelled();
     void streamHead();
     void readNext();
     void sendRefusal(Refusal);
-    void leaveSlot(SampleKind, bool completed);
+    void leaveSlot(std::optional<SampleKind>, bool completed); // without a kind the sample follows
     SampleKind judge() const;
     LoadReport loadReport() const;
     void end();
@@ -55,6 +58,8 @@
     std::string m_body; // the request, or what of it came before the dispatch
     bool m_holdsBody = false; // the request is dispatched only when it is here whole
     bool m_bodyEnded = false;
+    Fingerprint m_fingerprint = 0;
+    Instant m_dispatchedAt {};
     bool m_hasSlot = false;
     bool m_atGate = false; // waits for the gate's decision
     bool m_gateOpen = false; // the gate let the operation run and waits for its end
