Keep candidates by service and bound health summaries

Cause: at 6,100 nodes and 91,500 upstreams one list of candidates took 33.3 MB and 126 ms, and was rebuilt whole on each membership change. Health summaries went to each peer every 500 ms without a bound. An ejection's view of a service scanned the whole table. Full claim objects took 1.08 MB, above the store's 1 MB.

Candidates share the strings of their node. Balancers take lists by service and drop state of services without requests for 5 s. Health summaries go to six peers in turn, share datagrams, and have a budget. Views for ejections come from the lists. Route prefixes are views, sections are read into vectors of the right size, and a claim object holds at most 5,000 claims.

--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -1,6 +1,7 @@
 #include "Balancer.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <xxhash.h>
 
 namespace Gooseberrymill {
@@ -24,6 +25,49 @@
 
 } // namespace
 
+//-----------------------------------------------------------------------------
+// [SECTION] Candidates by service
+//-----------------------------------------------------------------------------
+
+void CandidateIndex::replaceAll(const std::shared_ptr<const CandidateList>& all)
+{
+    m_parts.clear();
+    if (!all)
+        return;
+    std::span<const Candidate> rest(*all);
+    while (!rest.empty()) {
+        const std::string& service = rest.front().service;
+        auto end = std::ranges::find_if(rest, [&](const Candidate& it) { return !(it.service == service); });
+        auto size = static_cast<size_t>(end - rest.begin());
+        m_parts.emplace(service, Part { all, rest.first(size) });
+        rest = rest.subspan(size);
+    }
+}
+
+void CandidateIndex::replace(std::string_view service, std::shared_ptr<const CandidateList> candidates)
+{
+    auto it = m_parts.find(service);
+    if (!candidates || candidates->empty()) {
+        if (it != m_parts.end())
+            m_parts.erase(it);
+        return;
+    }
+    if (it == m_parts.end())
+        it = m_parts.emplace(std::string(service), Part {}).first;
+    it->second.candidates = *candidates;
+    it->second.owner = std::move(candidates);
+}
+
+std::span<const Candidate> CandidateIndex::of(std::string_view service) const
+{
+    auto it = m_parts.find(service);
+    return it == m_parts.end() ? std::span<const Candidate>() : it->second.candidates;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Construction
+//-----------------------------------------------------------------------------
+
 Balancer::Balancer(Location location, uint64_t seed, BalancerOptions options)
     : m_location(std::move(location))
     , m_seed(seed)
@@ -38,10 +82,34 @@
 
 void Balancer::setCandidates(std::shared_ptr<const CandidateList> candidates, Instant now)
 {
-    m_candidates = std::move(candidates);
     m_views.clear();
+    m_candidates.replaceAll(candidates);
+    sweep(now);
+}
+
+void Balancer::setServiceCandidates(
+    std::string_view service, std::shared_ptr<const CandidateList> candidates, Instant /*now*/)
+{
+    if (auto it = m_views.find(service); it != m_views.end())
+        m_views.erase(it);
+    m_candidates.replace(service, std::move(candidates));
+}
+
+// Drops views that no request used lately, and load states that no view shows.
+void Balancer::sweep(Instant now)
+{
+    m_nextSweep = now + m_options.viewLifetime / 2;
+    std::erase_if(m_views, [&](const auto& entry) { return now - entry.second.lastUsed > m_options.viewLifetime; });
+    std::unordered_set<const UpstreamLoad*> used;
+    for (const auto& [name, view] : m_views) {
+        for (const auto& tier : view.tiers) {
+            for (const Member& it : tier)
+                used.insert(it.load);
+        }
+    }
     std::erase_if(m_loads, [&](const auto& entry) {
-        return !entry.second->outstanding && now - entry.second->reportedAt > m_options.reportLifetime;
+        const UpstreamLoad& load = *entry.second;
+        return !load.outstanding && now - load.reportedAt > m_options.reportLifetime && !used.contains(&load);
     });
     std::erase_if(
         m_paths, [&](const auto& entry) { return now - entry.second.blockedUntil > m_options.maxPathBackoff; });
@@ -70,15 +138,6 @@
     return it->second;
 }
 
-std::span<const Candidate> Balancer::candidatesOf(std::string_view service) const
-{
-    auto first = std::lower_bound(m_candidates->begin(), m_candidates->end(), service,
-        [](const Candidate& candidate, std::string_view name) { return candidate.service < name; });
-    auto last = std::upper_bound(first, m_candidates->end(), service,
-        [](std::string_view name, const Candidate& candidate) { return name < candidate.service; });
-    return { first, last };
-}
-
 Balancer::ServiceView Balancer::buildView(std::string_view service)
 {
     ServiceView view;
@@ -104,7 +163,7 @@
     view.hasRing = true;
     bool hasOwnRegion = !view.tiers[0].empty() || !view.tiers[1].empty();
     for (const Candidate& candidate : candidatesOf(service)) {
-        if (takesWork(candidate.state) && (!hasOwnRegion || candidate.location.region == m_location.region))
+        if (takesWork(candidate.state) && (!hasOwnRegion || candidate.location->region == m_location.region))
             view.ring.push_back({ hashText(candidate.upstream, ringSeed), &candidate });
     }
     std::sort(
@@ -161,7 +220,7 @@
 {
     if (m_paths.empty())
         return false;
-    auto it = m_paths.find(candidate.node);
+    auto it = m_paths.find(std::string_view(candidate.node));
     return it != m_paths.end() && now < it->second.blockedUntil;
 }
 
@@ -275,9 +334,12 @@
 
 const Candidate* Balancer::choose(const BalanceRequest& request, Instant now)
 {
-    if (!m_candidates)
+    if (now >= m_nextSweep)
+        sweep(now);
+    if (m_candidates.of(request.service).empty())
         return nullptr;
     ServiceView& view = viewOf(request.service);
+    view.lastUsed = now;
     if (request.affinity) {
         if (const Candidate* candidate = chooseAffine(view, request, now))
             return candidate;
--- a/src/core/Balancer.h
+++ b/src/core/Balancer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Configuration.h"
+#include "Shared.h"
 #include <random>
 #include <unordered_map>
 
@@ -10,19 +11,27 @@
 // One candidate upstream as an entry sees it.
 struct Candidate {
     std::string upstream;
-    std::string service;
-    std::string node; // name of the node beside it
-    std::string relayAddress; // "ip:port"
+    Shared<std::string> service;
+    Shared<std::string> node; // name of the node beside it
+    Shared<std::string> relayAddress; // "ip:port"
     Id128 executor; // incarnation of that node
-    Location location;
+    Shared<Location> location;
     uint32_t slots = 1;
     UpstreamState state = UpstreamState::Ready;
     double share = 1; // 0..1, below 1 while ramping up
+    bool operator==(const Candidate&) const = default;
 };
 
-// All candidates known to an entry; immutable, replaced as a whole when membership changes.
+// Candidates known to an entry, of one service or of all; immutable.
 using CandidateList = std::vector<Candidate>; // sorted by service, then upstream
 
+// The candidates of one service after a change; an empty list when none is left.
+struct ServiceCandidates {
+    std::string service;
+    std::shared_ptr<const CandidateList> candidates;
+};
+using CandidateChanges = std::vector<ServiceCandidates>;
+
 struct BalanceRequest {
     std::string_view service;
     WorkClass workClass = WorkClass::Interactive;
@@ -46,6 +55,46 @@
     { balancer.pathResult(node, reached, now) }; // path evidence about a node
 };
 
+// A balancer whose candidates are replaced service by service, so that a change costs as much as the services
+// it touches. Pointers returned by choose() are valid until the next call of either setter.
+template <typename T>
+concept IncrementalBalancing = Balancing<T> && requires(
+    T balancer, std::shared_ptr<const CandidateList> candidates, std::string_view service, Instant now)
+{
+    { balancer.setServiceCandidates(service, candidates, now) };
+    {
+        balancer.candidatesOf(service)
+        } -> std::same_as<std::span<const Candidate>>;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Candidates by service
+//-----------------------------------------------------------------------------
+
+namespace detail {
+
+struct StringHash {
+    using is_transparent = void; // NOLINT(readability-identifier-naming): name looked up by the library
+    size_t operator()(std::string_view text) const { return std::hash<std::string_view>()(text); }
+};
+template <typename T> using ByName = std::unordered_map<std::string, T, StringHash, std::equal_to<>>;
+
+} // namespace detail
+
+class CandidateIndex {
+public:
+    void replaceAll(const std::shared_ptr<const CandidateList>&); // sorted by service, then upstream
+    void replace(std::string_view service, std::shared_ptr<const CandidateList>);
+    std::span<const Candidate> of(std::string_view service) const;
+
+private:
+    struct Part {
+        std::shared_ptr<const CandidateList> owner;
+        std::span<const Candidate> candidates;
+    };
+    detail::ByName<Part> m_parts;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Balancer
 //-----------------------------------------------------------------------------
@@ -56,6 +105,7 @@
     Duration reportLifetime = 2s; // a load report loses its weight linearly over this time
     Duration pathBackoff = 500ms; // after the first failure to reach a node; doubles on each further one
     Duration maxPathBackoff = 30s;
+    Duration viewLifetime = 5s; // state of a service without requests for so long is dropped
 };
 
 // Power of two choices in the nearest tier (data centre, region, other regions) that has a free slot.
@@ -70,6 +120,8 @@
     Balancer(Location location, uint64_t seed, BalancerOptions options = {});
 
     void setCandidates(std::shared_ptr<const CandidateList> candidates, Instant now);
+    void setServiceCandidates(std::string_view service, std::shared_ptr<const CandidateList>, Instant now);
+    std::span<const Candidate> candidatesOf(std::string_view service) const { return m_candidates.of(service); }
     const Candidate* choose(const BalanceRequest& request, Instant now);
     void started(std::string_view upstream, Instant now);
     void finished(std::string_view upstream, const LoadReport& load, Instant now);
@@ -110,20 +162,17 @@
         std::array<std::vector<Member>, tierCount> tiers;
         std::vector<RingPoint> ring; // candidates of the own region (of all regions if it has none), by hash
         bool hasRing = false; // built at the first request with affinity
+        Instant lastUsed {};
     };
 
-    struct StringHash {
-        using is_transparent = void; // NOLINT(readability-identifier-naming): name looked up by the library
-        size_t operator()(std::string_view text) const { return std::hash<std::string_view>()(text); }
-    };
-    template <typename T> using ByName = std::unordered_map<std::string, T, StringHash, std::equal_to<>>;
+    template <typename T> using ByName = detail::ByName<T>;
 
     enum class Pass : uint8_t { Free, Degraded, Full, BadPath };
 
     ServiceView& viewOf(std::string_view service);
     ServiceView buildView(std::string_view service);
     void buildRing(ServiceView& view, std::string_view service) const;
-    std::span<const Candidate> candidatesOf(std::string_view service) const;
+    void sweep(Instant now);
     size_t tierOf(const Location& location) const;
     UpstreamLoad& loadOf(std::string_view upstream);
     UpstreamState stateOf(const Member& member, Instant now) const;
@@ -143,12 +192,13 @@
     uint64_t m_seed;
     BalancerOptions m_options;
     std::mt19937_64 m_random;
-    std::shared_ptr<const CandidateList> m_candidates;
+    CandidateIndex m_candidates;
     ByName<ServiceView> m_views; // built when a service is first asked for
     ByName<std::unique_ptr<UpstreamLoad>> m_loads;
     ByName<PathState> m_paths; // nodes with failures only
+    Instant m_nextSweep {};
 };
 
-static_assert(Balancing<Balancer>);
+static_assert(IncrementalBalancing<Balancer>);
 
 } // namespace Gooseberrymill
--- a/src/core/ClaimLedger.h
+++ b/src/core/ClaimLedger.h
@@ -68,7 +68,7 @@
 struct ClaimSettings {
     uint32_t shards = 64; // objects per service and time bucket
     Duration bucketWidth = 1h; // of the key's creation time
-    size_t maxClaimsPerBucket = 6000; // keeps the object below the store's limit of 1 MB
+    size_t maxClaimsPerBucket = 5000; // of at most 190 bytes each; keeps the object below the store's limit of 1 MB
     Duration retryDelay = 200ms; // after the store could not be reached
     Duration markDelay = 1s; // outcome marks wait this long for a claim to share the write with
 };
--- a/src/core/Configuration.h
+++ b/src/core/Configuration.h
@@ -98,7 +98,7 @@
 
 private:
     struct Entry {
-        std::string prefix; // without the trailing "*"
+        std::string_view prefix; // of the route's path, without the trailing "*"
         bool exact = false;
         Match match;
     };
--- a/src/core/LeastOutstandingBalancer.h
+++ b/src/core/LeastOutstandingBalancer.h
@@ -16,14 +16,17 @@
 
     void setCandidates(std::shared_ptr<const CandidateList> candidates, Instant)
     {
-        m_candidates = std::move(candidates);
+        m_candidates.replaceAll(candidates);
     }
+    void setServiceCandidates(std::string_view service, std::shared_ptr<const CandidateList> candidates, Instant)
+    {
+        m_candidates.replace(service, std::move(candidates));
+    }
+    std::span<const Candidate> candidatesOf(std::string_view service) const { return m_candidates.of(service); }
 
     const Candidate* choose(const BalanceRequest& request, Instant)
     {
-        if (!m_candidates)
-            return nullptr;
-        auto candidates = detail::candidatesOf(*m_candidates, request.service);
+        auto candidates = m_candidates.of(request.service);
         const Candidate* best = nullptr;
         uint32_t fewest = 0;
         ++m_offset; // ties rotate
@@ -53,10 +56,10 @@
 
 private:
     size_t m_offset = 0;
-    std::shared_ptr<const CandidateList> m_candidates;
+    CandidateIndex m_candidates;
     std::unordered_map<std::string, uint32_t> m_outstanding;
 };
 
-static_assert(Balancing<LeastOutstandingBalancer>);
+static_assert(IncrementalBalancing<LeastOutstandingBalancer>);
 
 } // namespace Gooseberrymill
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -98,6 +98,7 @@
 Membership::Membership(MembershipSettings settings, NodeRecord self, uint64_t seed, Instant now)
     : m_settings(std::move(settings))
     , m_random(seed)
+    , m_healthTokens(m_settings.healthBurstBytes)
     , m_tokens(m_settings.burstBytes)
     , m_syncTokens(m_settings.syncBytesPerSecond)
     , m_startedAt(now)
@@ -131,8 +132,13 @@
     Duration gap = now - m_lastTick;
     m_lastTick = now;
     double seconds = std::chrono::duration<double>(gap).count();
-    m_tokens = std::min(m_settings.burstBytes, m_tokens + seconds * m_settings.bytesPerSecond);
+    double tokens = m_tokens + seconds * m_settings.bytesPerSecond;
+    m_tokens = std::min(m_settings.burstBytes, tokens);
+    // In a quiet fleet health summaries get what the updates leave, so that rounds are short.
+    double unused = tokens - m_tokens;
     m_syncTokens = std::min(m_settings.syncBytesPerSecond, m_syncTokens + seconds * m_settings.syncBytesPerSecond);
+    m_healthTokens
+        = std::min(m_settings.healthBurstBytes, m_healthTokens + seconds * m_settings.healthBytesPerSecond + unused);
     m_contradictions = 0;
     if (gap > pauseThreshold) {
         // Answers may wait unread in the socket, so silence in the gap is no evidence against anyone.
@@ -154,6 +160,7 @@
     }
     if (m_self->record.status != NodeStatus::Alive)
         return;
+    spreadHealth(now);
     if (now >= m_nextRetryAt) {
         m_nextRetryAt = now + m_settings.retryPeriod;
         retryLost(now);
@@ -323,21 +330,88 @@
     }
 }
 
-void Membership::sendHealth(const HealthSummary& summary, Instant)
+void Membership::sendHealth(const HealthSummary& summary, Instant now)
 {
-    auto own = std::ranges::find(m_self->record.upstreams, summary.upstream, &UpstreamRecord::name);
-    if (own == m_self->record.upstreams.end() || summary.work.size() > maxSummaryWork)
+    bool isOwn = std::ranges::find(m_self->record.upstreams, summary.upstream, &UpstreamRecord::name)
+        != m_self->record.upstreams.end();
+    if (!isOwn || summary.work.size() > maxSummaryWork || summary.work.empty())
         return;
+    m_ownHealth[summary.upstream] = { summary, now };
+}
+
+// Each upstream's summary goes to the next `healthFanout` members of its service on the ring, so that each
+// member hears of as many peers as it tells. The following round goes on behind them.
+void Membership::startHealthRound(Instant now)
+{
+    m_nextHealthAt = now + m_settings.healthPeriod;
+    ++m_counters.healthRounds;
+    // A summary that is older than the last round was sent in it, or its upstream is gone.
+    if (m_healthRoundAt)
+        std::erase_if(m_ownHealth, [&](const auto& entry) { return entry.second.at <= *m_healthRoundAt; });
+    m_healthRoundAt = now;
+    std::unordered_map<std::string_view, std::vector<const Member*>> peers; // by service
+    for (const UpstreamRecord& it : m_self->record.upstreams) {
+        if (m_ownHealth.contains(it.name))
+            peers[it.service];
+    }
     for (const auto& [name, member] : m_members) {
         if (&member == m_self || !isLive(member))
             continue;
-        bool isPeer = std::ranges::any_of(member.record.upstreams,
-            [&](const UpstreamRecord& it) { return it.service == own->service && it.state != UpstreamState::Gone; });
-        if (!isPeer)
+        for (const UpstreamRecord& it : member.record.upstreams) {
+            auto list = it.state == UpstreamState::Gone ? peers.end() : peers.find(it.service);
+            if (list != peers.end() && (list->second.empty() || list->second.back() != &member))
+                list->second.push_back(&member);
+        }
+    }
+    for (auto& [service, list] : peers) {
+        std::ranges::sort(
+            list, {}, [&](const Member* it) { return it->ringPosition - m_self->ringPosition; }); // wraps around
+    }
+    std::map<uint64_t, std::vector<std::string>> targets;
+    for (const UpstreamRecord& it : m_self->record.upstreams) {
+        auto list = peers.find(it.service);
+        if (list == peers.end() || !m_ownHealth.contains(it.name))
             continue;
+        size_t n = std::min(m_settings.healthFanout, list->second.size());
+        for (size_t i = 0; i < n; ++i) {
+            size_t position = (m_healthRound * m_settings.healthFanout + i) % list->second.size();
+            targets[list->second[position]->key].push_back(it.name);
+        }
+    }
+    ++m_healthRound;
+    for (auto& [key, upstreams] : targets)
+        m_healthTargets.push_back({ key, std::move(upstreams) });
+    // Members that need most of the summaries are served first.
+    std::ranges::stable_sort(m_healthTargets, {}, [](const HealthTarget& it) { return it.upstreams.size(); });
+}
+
+void Membership::spreadHealth(Instant now)
+{
+    constexpr size_t maxSummaries = 16; // of one datagram, as the codec bounds it
+    if (m_healthTargets.empty() && !m_ownHealth.empty() && now >= m_nextHealthAt)
+        startHealthRound(now);
+    while (!m_healthTargets.empty() && m_healthTokens > 0) {
+        HealthTarget& target = m_healthTargets.back();
+        const Member* member = byKey(target.key);
         GossipMessage message = makeMessage(GossipKind::Health);
-        message.health.push_back(summary);
-        send(member.record.gossipAddress, std::move(message));
+        while (member && !target.upstreams.empty() && message.health.size() < maxSummaries) {
+            auto summary = m_ownHealth.find(target.upstreams.back());
+            if (summary != m_ownHealth.end()) {
+                if (encodedSizeBound(message) + encodedSizeBound(summary->second.summary) > maxDatagramBytes)
+                    break;
+                message.health.push_back(summary->second.summary);
+            }
+            target.upstreams.pop_back();
+        }
+        if (!member || target.upstreams.empty())
+            m_healthTargets.pop_back();
+        if (!member || message.health.empty())
+            continue;
+        auto bytes = encodedSizeBound(message) + datagramOverhead;
+        m_healthTokens -= static_cast<double>(bytes);
+        m_tokens += static_cast<double>(bytes); // health has a budget of its own; send() takes from the other
+        m_counters.healthBytes += bytes;
+        send(member->record.gossipAddress, std::move(message));
     }
 }
 
@@ -1112,6 +1186,12 @@
 // [SECTION] Derived lists
 //-----------------------------------------------------------------------------
 
+UpstreamState candidateState(const NodeRecord& node, const UpstreamRecord& upstream)
+{
+    bool isPreferred = upstream.state == UpstreamState::Ready || upstream.state == UpstreamState::Cold;
+    return node.status == NodeStatus::Suspect && isPreferred ? UpstreamState::Degraded : upstream.state;
+}
+
 CandidateList makeCandidates(const Membership& membership)
 {
     CandidateList candidates;
@@ -1121,11 +1201,8 @@
         for (const UpstreamRecord& it : node.upstreams) {
             if (it.state == UpstreamState::Gone)
                 continue;
-            UpstreamState state = it.state;
-            if (node.status == NodeStatus::Suspect && (state == UpstreamState::Ready || state == UpstreamState::Cold))
-                state = UpstreamState::Degraded;
             candidates.push_back({ it.name, it.service, node.name, node.relayAddress, node.incarnation, node.location,
-                it.slots, state, it.share });
+                it.slots, candidateState(node, it), it.share });
         }
     });
     std::ranges::sort(candidates, {}, [](const Candidate& it) { return std::tie(it.service, it.upstream); });
--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -167,12 +167,18 @@
     double burstBytes = 6000;
     double syncBytesPerSecond = 128000; // answers to joining nodes, which are rare
     size_t maxRemembered = 512; // addresses of forgotten members
+    double healthBytesPerSecond = 400; // with `bytesPerSecond` below 3 KB/s; what gossip does not use is added
+    double healthBurstBytes = 2400;
+    size_t healthFanout = 6; // peers that hear of an upstream in one round; the next round takes the following ones
+    Duration healthPeriod = 500ms; // between the starts of two rounds; longer when a round needs more bytes
 };
 
 struct MembershipCounters {
     uint64_t messages = 0; // sent
     uint64_t bytes = 0; // bound of the encoded bytes sent
     uint64_t syncBytes = 0; // of these, answers to joining nodes
+    uint64_t healthBytes = 0; // of these, health summaries
+    uint64_t healthRounds = 0; // started
     uint64_t obsolete = 0; // received from a superseded incarnation
     uint64_t unknownMembers = 0; // updates about a member that was not known
     uint64_t suspicions = 0; // raised by this node
@@ -192,7 +198,9 @@
     void leave(Instant now);
     void addSeed(const std::string& gossipAddress); // one more address to join through
     void setConfigurationDigest(uint64_t digest) { m_configurationDigest = digest; }
-    void sendHealth(const HealthSummary&, Instant now); // to the members that run the same service
+    // The newest summary of an own upstream; goes to members that run the same service, within the budget for
+    // health. Summaries for the same member share a datagram.
+    void sendHealth(const HealthSummary&, Instant now);
 
     // [SECTION] Output
     std::vector<OutgoingGossip> takeMessages();
@@ -249,6 +257,17 @@
         Instant at;
     };
 
+    struct OwnHealth {
+        HealthSummary summary;
+        Instant at;
+    };
+
+    // A member that is to hear of own upstreams in the current round.
+    struct HealthTarget {
+        uint64_t key = 0;
+        std::vector<std::string> upstreams;
+    };
+
     Member* byKey(uint64_t key);
     static bool isLive(const Member& member)
     {
@@ -283,6 +302,8 @@
     void checkProbes(Instant now);
     void checkStatuses(Instant now);
     void spread(Instant now);
+    void spreadHealth(Instant now);
+    void startHealthRound(Instant now);
     void retryLost(Instant now);
     void repair();
     std::vector<const Member*> partMembers(uint64_t part) const;
@@ -310,6 +331,12 @@
     size_t m_probeCount = 0;
     std::vector<std::string> m_remembered; // addresses of forgotten members
     std::map<std::string, ReceivedHealth, std::less<>> m_health; // by upstream
+    std::map<std::string, OwnHealth, std::less<>> m_ownHealth; // by upstream
+    std::vector<HealthTarget> m_healthTargets; // still to be served in this round
+    uint64_t m_healthRound = 0;
+    Instant m_nextHealthAt;
+    std::optional<Instant> m_healthRoundAt; // start of the last round
+    double m_healthTokens = 0;
     std::vector<OutgoingGossip> m_messages;
     std::vector<MembershipChange> m_changes;
     MembershipCounters m_counters;
@@ -335,6 +362,9 @@
 // [SECTION] Derived lists
 //-----------------------------------------------------------------------------
 
+// State of an upstream as entries see it: degraded while its node is suspected.
+UpstreamState candidateState(const NodeRecord&, const UpstreamRecord&);
+
 // Candidates of all live members, sorted by service, then upstream. Upstreams of suspected members are
 // shown as degraded, so that they are chosen last until the suspicion is settled.
 CandidateList makeCandidates(const Membership&);
--- a/src/core/RoundRobinBalancer.h
+++ b/src/core/RoundRobinBalancer.h
@@ -16,15 +16,6 @@
     return takesWork && std::find(exclude.begin(), exclude.end(), candidate.upstream) == exclude.end();
 }
 
-inline std::span<const Candidate> candidatesOf(const CandidateList& all, std::string_view service)
-{
-    auto first = std::lower_bound(all.begin(), all.end(), service,
-        [](const Candidate& candidate, std::string_view name) { return candidate.service < name; });
-    auto last = std::upper_bound(first, all.end(), service,
-        [](std::string_view name, const Candidate& candidate) { return name < candidate.service; });
-    return { first, last };
-}
-
 } // namespace detail
 
 class RoundRobinBalancer {
@@ -37,14 +28,17 @@
 
     void setCandidates(std::shared_ptr<const CandidateList> candidates, Instant)
     {
-        m_candidates = std::move(candidates);
+        m_candidates.replaceAll(candidates);
+    }
+    void setServiceCandidates(std::string_view service, std::shared_ptr<const CandidateList> candidates, Instant)
+    {
+        m_candidates.replace(service, std::move(candidates));
     }
+    std::span<const Candidate> candidatesOf(std::string_view service) const { return m_candidates.of(service); }
 
     const Candidate* choose(const BalanceRequest& request, Instant)
     {
-        if (!m_candidates)
-            return nullptr;
-        auto candidates = detail::candidatesOf(*m_candidates, request.service);
+        auto candidates = m_candidates.of(request.service);
         size_t& next = m_next.try_emplace(std::string(request.service), m_start).first->second;
         for (size_t i = 0; i < candidates.size(); ++i) {
             const Candidate& candidate = candidates[next++ % candidates.size()];
@@ -61,10 +55,10 @@
 
 private:
     size_t m_start = 0;
-    std::shared_ptr<const CandidateList> m_candidates;
+    CandidateIndex m_candidates;
     std::map<std::string, size_t> m_next;
 };
 
-static_assert(Balancing<RoundRobinBalancer>);
+static_assert(IncrementalBalancing<RoundRobinBalancer>);
 
 } // namespace Gooseberrymill
--- a/src/core/RouteTable.cpp
+++ b/src/core/RouteTable.cpp
@@ -24,12 +24,15 @@
             m_services.push_back(&service);
             for (const Route& route : service.routes) {
                 bool exact = !route.path.ends_with('*');
-                std::string prefix = exact ? route.path : route.path.substr(0, route.path.size() - 1);
-                m_entries.push_back({ std::move(prefix), exact, { &service, &route } });
+                std::string_view prefix(route.path);
+                if (!exact)
+                    prefix.remove_suffix(1);
+                m_entries.push_back({ prefix, exact, { &service, &route } });
                 ++m_routeCount;
             }
         }
     }
+    m_entries.shrink_to_fit();
     std::stable_sort(
         m_entries.begin(), m_entries.end(), [](const Entry& a, const Entry& b) { return a.prefix < b.prefix; });
     std::stable_sort(
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -16,6 +16,7 @@
 constexpr Duration tickPeriod = 50ms; // of membership and configuration
 constexpr Duration samplePeriod = 100ms; // health samples go to the control task in batches
 constexpr Duration peerHealthAge = 5s; // older summaries of peers say nothing about now
+constexpr Duration rolePeriod = 100ms; // between two choices of the watch role; each looks at all members
 constexpr size_t peersAskedPerDataCentre = 2; // for the configuration after a start
 
 std::span<const uint8_t> bytesOf(const std::string& text)
@@ -224,10 +225,12 @@
     hooks.setEndpoint = [this](const UpstreamEndpoint& endpoint) { m_node->setUpstream(endpoint); };
     hooks.publish = [this](const UpstreamRecord& record) {
         m_membership->setUpstream(record, currentInstant());
-        m_candidatesChanged = true;
+        m_candidates.noteChange(*m_membership, m_settings.nodeName);
+        m_membersChanged = true;
+    };
+    hooks.views = [this](std::string_view service) {
+        return makeUpstreamViews(*m_membership, m_candidates, service, currentInstant());
     };
-    hooks.views
-        = [this](std::string_view service) { return makeUpstreamViews(*m_membership, service, currentInstant()); };
     hooks.peerHealth = [this](std::string_view service) {
         return m_membership->peerHealth(service, peerHealthAge, currentInstant());
     };
@@ -281,15 +284,22 @@
         bool isFirstPeer = change.event == MemberEvent::Joined && !m_configuration->isReady();
         if (isFirstPeer)
             m_configuration->start(choosePeersToAsk(*m_membership, peersAskedPerDataCentre, m_random));
-        m_candidatesChanged = true;
+        m_candidates.noteChange(*m_membership, change.node);
+        m_membersChanged = m_membersChanged || change.event != MemberEvent::UpstreamChanged;
     }
-    if (std::exchange(m_candidatesChanged, false))
-        refreshCandidates();
+    refreshCandidates();
 }
 
 void ControlPlane::refreshCandidates()
 {
-    m_node->setCandidates(std::make_shared<const CandidateList>(makeCandidates(*m_membership)));
+    Instant now = currentInstant();
+    CandidateChanges changes = m_candidates.takeChanges(*m_membership, now);
+    if (!changes.empty())
+        m_node->updateCandidates(std::make_shared<const CandidateChanges>(std::move(changes)));
+    if (!m_membersChanged || now < m_nextRole)
+        return;
+    m_membersChanged = false;
+    m_nextRole = now + rolePeriod;
     refreshWatchRole();
 }
 
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -5,6 +5,7 @@
 #include "AdminServer.h"
 #include "AuditTrail.h"
 #include "ConfigurationDriver.h"
+#include "core/CandidateCache.h"
 #include "GossipSocket.h"
 #include "Metrics.h"
 #include "Node.h"
@@ -98,7 +99,9 @@
     std::atomic<uint64_t> m_digest { 0 }; // read by the entry workers
     uint16_t m_adminPort = 0;
     WatchRole m_role = WatchRole::None;
-    bool m_candidatesChanged = false;
+    CandidateCache m_candidates;
+    bool m_membersChanged = false; // since the watch role was chosen
+    Instant m_nextRole {};
     bool m_isStopping = false;
     Instant m_nextSeeds {};
     std::function<void()> m_stopped;
--- a/src/node/EntryServer.cpp
+++ b/src/node/EntryServer.cpp
@@ -65,10 +65,15 @@
 
 void EntryWorker::setCandidates(std::shared_ptr<const CandidateList> candidates)
 {
-    m_candidates = candidates;
     m_balancer->setCandidates(std::move(candidates), currentInstant());
 }
 
+void EntryWorker::updateCandidates(const CandidateChanges& changes)
+{
+    for (const ServiceCandidates& it : changes)
+        m_balancer->setServiceCandidates(it.service, it.candidates, currentInstant());
+}
+
 void EntryWorker::onRequestStarted(SoupServer* /*server*/, SoupServerMessage* message, gpointer data)
 {
     static_cast<EntryWorker*>(data)->trackConnection(message);
@@ -175,11 +180,9 @@
 
 const Candidate* EntryWorker::findExecutor(const std::string& service, const Id128& executor) const
 {
-    if (!m_candidates)
-        return nullptr;
-    auto it = std::find_if(m_candidates->begin(), m_candidates->end(),
-        [&](const Candidate& c) { return c.service == service && c.executor == executor; });
-    return it == m_candidates->end() ? nullptr : &*it;
+    auto candidates = m_balancer->candidatesOf(service);
+    auto it = std::ranges::find(candidates, executor, &Candidate::executor);
+    return it == candidates.end() ? nullptr : &*it;
 }
 
 } // namespace Gooseberrymill
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -17,6 +17,8 @@
 public:
     virtual ~BalancerPort() = default;
     virtual void setCandidates(std::shared_ptr<const CandidateList>, Instant) = 0;
+    virtual void setServiceCandidates(std::string_view service, std::shared_ptr<const CandidateList>, Instant) = 0;
+    virtual std::span<const Candidate> candidatesOf(std::string_view service) const = 0;
     virtual const Candidate* choose(const BalanceRequest&, Instant) = 0;
     virtual void started(std::string_view upstream, Instant) = 0;
     virtual void finished(std::string_view upstream, const LoadReport&, Instant) = 0;
@@ -24,7 +26,7 @@
     virtual void pathResult(std::string_view node, bool reached, Instant) = 0;
 };
 
-template <Balancing Balancer> class BalancerHolder final : public BalancerPort {
+template <IncrementalBalancing Balancer> class BalancerHolder final : public BalancerPort {
 public:
     explicit BalancerHolder(Balancer balancer)
         : m_balancer(std::move(balancer))
@@ -34,6 +36,15 @@
     {
         m_balancer.setCandidates(std::move(candidates), now);
     }
+    void setServiceCandidates(
+        std::string_view service, std::shared_ptr<const CandidateList> candidates, Instant now) override
+    {
+        m_balancer.setServiceCandidates(service, std::move(candidates), now);
+    }
+    std::span<const Candidate> candidatesOf(std::string_view service) const override
+    {
+        return m_balancer.candidatesOf(service);
+    }
     const Candidate* choose(const BalanceRequest& request, Instant now) override
     {
         return m_balancer.choose(request, now);
@@ -70,7 +81,8 @@
     // `port` of the first worker may be 0; the others share the port it took.
     Result<uint16_t> listen(const std::string& host, uint16_t port);
     void setRoutes(std::shared_ptr<const RouteTable>);
-    void setCandidates(std::shared_ptr<const CandidateList>);
+    void setCandidates(std::shared_ptr<const CandidateList>); // of all services
+    void updateCandidates(const CandidateChanges&);
 
     // From now on each response closes its connection.
     void startDraining() { m_draining = true; }
@@ -104,7 +116,6 @@
     std::unique_ptr<BalancerPort> m_balancer;
     RelayClient m_client;
     std::shared_ptr<const RouteTable> m_routes;
-    std::shared_ptr<const CandidateList> m_candidates;
     ObjectHandle<SoupServer> m_server;
     std::set<std::shared_ptr<EntryExchange>> m_exchanges;
     std::unordered_map<GSocket*, std::unique_ptr<CallerConnection>> m_connections;
--- a/src/node/MembershipBench.cpp
+++ b/src/node/MembershipBench.cpp
@@ -242,6 +242,11 @@
             if (m_now.time_since_epoch() % Duration(1s) == Duration(0))
                 peersSend();
             double cpu = cpuSeconds();
+            if (m_options.sendsHealth && m_now.time_since_epoch() % Duration(500ms) == Duration(0)) {
+                for (const UpstreamRecord& it : m_records.front().upstreams)
+                    m_membership->sendHealth(
+                        { it.name, { { 1, 40, 0, 9.2F, 0.25F }, { 2, 12, 1, 9.9F, 0.3F } } }, m_now);
+            }
             m_membership->tick(m_now);
             m_cpu.tick += cpuSeconds() - cpu;
             ++m_cpu.ticks;
--- a/src/node/MembershipBench.h
+++ b/src/node/MembershipBench.h
@@ -12,6 +12,7 @@
     double restartsPerDay = 22000; // at `referenceNodes`; scaled down with the nodes
     size_t referenceNodes = 6100;
     size_t dataCentres = 6;
+    bool sendsHealth = false; // summaries of all own upstreams every 500 ms
     Duration length = 60s; // virtual time of each phase
     uint64_t seed = 1;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -100,6 +100,12 @@
         worker.task->post([entry = worker.entry.get(), candidates] { entry->setCandidates(candidates); });
 }
 
+void Node::updateCandidates(const std::shared_ptr<const CandidateChanges>& changes)
+{
+    for (Worker& worker : m_workers)
+        worker.task->post([entry = worker.entry.get(), changes] { entry->updateCandidates(*changes); });
+}
+
 void Node::setUpstream(UpstreamEndpoint endpoint)
 {
     m_executorTask->post([this, endpoint = std::move(endpoint)] { m_executor->setUpstream(endpoint); });
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -19,7 +19,8 @@
 
     // Control. May be called from any thread; each takes effect in the order of the calls.
     void setRoutes(const std::shared_ptr<const RouteTable>&);
-    void setCandidates(const std::shared_ptr<const CandidateList>&);
+    void setCandidates(const std::shared_ptr<const CandidateList>&); // of all services
+    void updateCandidates(const std::shared_ptr<const CandidateChanges>&);
     void setUpstream(UpstreamEndpoint);
 
     // Graceful end: refuses relayed requests, answers callers with `Connection: close` for `drainGrace`, stops
--- a/src/node/TomlSections.h
+++ b/src/node/TomlSections.h
@@ -163,6 +163,7 @@
     void sections(std::string_view key, std::vector<T>& items, size_t limit, Function&& describe)
     {
         std::vector<const toml::table*> tables = findTables(key, limit);
+        items.reserve(items.size() + tables.size()); // configurations are kept; growth would leave unused space
         for (size_t i = 0; i < tables.size(); ++i) {
             SectionReader reader(m_context, tables[i], fmt::format("{}[{}]", pathOf(key), i));
             describe(reader, items.emplace_back());
