Replay detection, readmission and the crash filter with measured outcomes

Cause: the replay judged upstreams with a baseline that saw no summaries of peers, ejected without a roster and told entries states that were newer than the gossip delay. A request that crashes upstreams was not filtered.

Change: HealthMonitor, BasicUpstreamCondition and QueryOfDeathFilter (and their baselines) are policies of the replay. Summaries travel every 500 ms with the network delay, entries see states and shares 1 s late, crash reports reach every node with the network delay. A request for ejection is counted; no roster is replayed. New scenarios: one failure in five, one wrong response in five, passing checks, lying and five times slower. thinTrace lowers the rate. bench prints the time until the traffic is lost, false degradations, false requests of ejection and crashes per request.

A verdict without a new answer since the last one counts as Healthy, so the probation of an upstream without traffic ends; its evidence is then reset.

--- a/src/core/QueryOfDeathFilter.h
+++ b/src/core/QueryOfDeathFilter.h
@@ -8,6 +8,7 @@
 
 #include "Basics.h"
 
+#include <concepts>
 #include <map>
 #include <unordered_map>
 
@@ -63,4 +64,33 @@
     std::unordered_map<Fingerprint, Suspect> m_suspects;
 };
 
+// A filter of requests that crash upstreams.
+template <typename T>
+concept CrashFiltering = requires(
+    T filter, const Id128& crash, std::span<const Fingerprint> running, const CrashReport& report, Instant now)
+{
+    {
+        filter.crashed(crash, running, now)
+        } -> std::same_as<std::vector<CrashReport>>;
+    {
+        filter.reported(report, now)
+        } -> std::same_as<bool>;
+    { filter.succeeded(report.fingerprint) };
+    {
+        filter.refusedAfter(report.fingerprint, now)
+        } -> std::same_as<uint32_t>;
+};
+
+// Baseline: refuses nothing.
+class PassAllFilter {
+public:
+    std::vector<CrashReport> crashed(const Id128&, std::span<const Fingerprint>, Instant) { return {}; }
+    bool reported(const CrashReport&, Instant) { return false; }
+    void succeeded(Fingerprint) { }
+    uint32_t refusedAfter(Fingerprint, Instant) const { return 0; }
+};
+
+static_assert(CrashFiltering<QueryOfDeathFilter>);
+static_assert(CrashFiltering<PassAllFilter>);
+
 } // namespace Gooseberrymill
--- a/src/core/Replay.h
+++ b/src/core/Replay.h
@@ -1,26 +1,37 @@
 // Replay of a trace in virtual time against the decision core, with one small model of an upstream.
 //
-// The replay closes the loop: entries with a balancer and a retry policy each, one admission queue and
-// one detector per upstream, network delays between data centres. It states outcomes; it does not
-// model hosts, queues of the operating system or bandwidth.
+// The replay closes the loop: entries with a balancer and a retry policy each, one admission queue, one
+// detector and one condition per upstream, a crash filter per node, network delays between data centres.
+// It states outcomes; it does not model hosts, queues of the operating system or bandwidth.
+//
+// Detection degrades only: a request for ejection is counted, but no roster is replayed. Summaries and
+// crash reports travel with the network delay and are lost on a cut path. Entries see the state and share
+// of an upstream as of one gossip delay ago.
 //
 // The policies are template parameters. A factory creates them:
 //
 //     struct Policies {
+//         using ReadmissionPolicy = FixedReadmission;
 //         std::unique_ptr<Balancer> balancer(const Location&, uint64_t seed, uint32_t entryCount) const;
 //         std::unique_ptr<AdmissionQueue> admission(const Service&) const;
 //         std::unique_ptr<NeverSickDetector> detector(const Service&) const;
 //         std::unique_ptr<AttemptPolicy> retry(const Service&) const;
+//         ReadmissionPolicy readmission(const Service&) const;
+//         std::unique_ptr<PassAllFilter> crashFilter() const;
 //     };
 //     ReplayResult result = replay(trace, Policies {}, {});
 #pragma once
 
 #include "AdmissionQueue.h"
 #include "Balancer.h"
+#include "HealthMonitor.h"
+#include "QueryOfDeathFilter.h"
 #include "RetryBudget.h"
 #include "Trace.h"
+#include "UpstreamCondition.h"
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <map>
 #include <queue>
 
@@ -44,6 +55,16 @@
     double goodShare() const { return offered ? static_cast<double>(good) / static_cast<double>(offered) : 1; }
 };
 
+// What happened to an upstream with a fault in the trace.
+struct FaultOutcome {
+    size_t upstream = 0;
+    Duration faultAt {};
+    // From the fault to the first moment after which the upstream gets at most a tenth of its usual requests,
+    // in the following second and in the following 10 s; empty when there is none.
+    std::optional<Duration> trafficLost;
+    std::optional<Duration> degraded; // from the fault until its executor degraded it
+};
+
 struct ReplayResult {
     std::array<ClassOutcome, workClassCount> classes;
     std::array<ClassOutcome, workClassCount> peakClasses; // arrivals between peakStart and peakEnd
@@ -63,8 +84,12 @@
     std::vector<uint64_t> servedAfterFault; // by upstream, requests dispatched 10 s or more after the first fault
     uint64_t wrongDelivered = 0; // wrong responses passed on to callers
     uint64_t crashes = 0;
+    std::map<uint64_t, uint64_t> crashesByFingerprint; // of requests that crash upstreams
     uint64_t degradations = 0;
-    uint64_t ejections = 0;
+    uint64_t falseDegradations = 0; // of these, of upstreams without a fault at that time
+    uint64_t ejectionRequests = 0; // conditions that asked for ejection
+    uint64_t falseEjectionRequests = 0; // of these, of upstreams without a fault at that time
+    std::vector<FaultOutcome> faults; // by upstream; slow, failing, wrong or lying ones
 
     uint64_t totalCrossRegionBytes() const
     {
@@ -89,6 +114,9 @@
 namespace detail {
 
 constexpr Duration gossipDelay = 1s; // until entries know a changed state
+constexpr Duration summaryLifetime = 3s; // older summaries of peers are not passed to the detector
+constexpr std::array<Duration, 2> trafficWindows { 1s, 10s }; // for the share of the usual requests
+constexpr double lostTrafficShare = 0.1; // an upstream with at most this share of its usual requests lost them
 constexpr Duration connectTimeout = 1s; // over a cut path
 constexpr Duration pollInterval = 20ms; // of a queue with waiting requests
 constexpr Duration evaluateInterval = 500ms;
@@ -109,7 +137,21 @@
     PathFailed,
     Poll,
     Evaluate,
+    Snapshot,
     Publish,
+    CrashReported,
+};
+
+// A crash report on its way to the filter of one node.
+struct ReportInFlight {
+    CrashReport report;
+    size_t filter = 0;
+};
+
+struct PeerSummary {
+    HealthSummary summary;
+    Duration arrivesAt {};
+    bool isKnown = false;
 };
 
 struct Event {
@@ -155,9 +197,11 @@
     bool isCrashed = false;
     bool isDraining = false;
     Duration coldUntil {};
-    bool isDegraded = false;
-    Duration ejectedUntil {};
     bool isPolling = false;
+    bool hasNewAnswers = false; // since the last verdict
+    bool askedForEjection = false;
+    std::optional<Duration> faultAt;
+    std::optional<Duration> degradedAt; // first time after the fault
     std::vector<size_t> running; // attempts
 };
 
@@ -186,15 +230,21 @@
             const Service& service = m_header.services[m_header.upstreams[i].service];
             m_queues.push_back(policies.admission(service));
             m_detectors.push_back(policies.detector(service));
+            m_conditions.emplace_back(policies.readmission(service));
+            m_conditions.back().started(Instant()); // long ago: the ramp is complete
             m_upstreamIndex.emplace(m_header.upstreams[i].name, i);
         }
+        for (size_t i = 0; i < entryCount + m_models.size(); ++i)
+            m_filters.push_back(policies.crashFilter());
+        m_peerSummaries.resize(m_models.size() * m_models.size());
+        m_dispatches.resize(m_models.size());
         m_result.servedAfterFault.resize(m_models.size());
         m_peakWork.resize(m_header.services.size());
     }
 
     ReplayResult run()
     {
-        publish();
+        deliver(snapshot());
         if (!m_trace.events.empty())
             schedule(timeOf(m_trace.events.front()), Kind::TraceStep, 0);
         schedule(detail::evaluateInterval, Kind::Evaluate, 0);
@@ -219,7 +269,10 @@
     using AdmissionType = typename decltype(std::declval<Policies>().admission({}))::element_type;
     using DetectorType = typename decltype(std::declval<Policies>().detector({}))::element_type;
     using RetryType = typename decltype(std::declval<Policies>().retry({}))::element_type;
+    using FilterType = typename decltype(std::declval<Policies>().crashFilter())::element_type;
+    using Condition = BasicUpstreamCondition<typename Policies::ReadmissionPolicy>;
     static_assert(Balancing<BalancerType> && Admission<AdmissionType> && Detector<DetectorType> && Retrying<RetryType>);
+    static_assert(CrashFiltering<FilterType>);
 
     static constexpr Duration epoch = 1000s; // virtual time starts away from zero
 
@@ -249,8 +302,14 @@
             return serveQueue(event.index);
         case Kind::Evaluate:
             return evaluate();
-        case Kind::Publish:
+        case Kind::Snapshot:
             return publish();
+        case Kind::Publish:
+            deliver(m_published.front());
+            return m_published.pop_front();
+        case Kind::CrashReported:
+            m_filters[m_reports[event.index].filter]->reported(m_reports[event.index].report, now());
+            return;
         }
     }
 
@@ -282,6 +341,8 @@
     void apply(const TraceUpstreamChange& change)
     {
         Model& model = m_models[change.upstream];
+        if (isFault(change) && !model.faultAt)
+            model.faultAt = m_now;
         switch (change.kind) {
         case ChangeKind::Slow:
             model.slow = change.value;
@@ -306,8 +367,21 @@
             return restart(change.upstream);
         case ChangeKind::Drain:
             model.isDraining = true;
-            schedule(m_now + detail::gossipDelay, Kind::Publish, 0);
-            return;
+            return publish();
+        }
+    }
+
+    static bool isFault(const TraceUpstreamChange& change)
+    {
+        switch (change.kind) {
+        case ChangeKind::Slow:
+            return change.value > 1;
+        case ChangeKind::Fail:
+        case ChangeKind::Wrong:
+        case ChangeKind::Lie:
+            return change.value > 0;
+        default:
+            return false;
         }
     }
 
@@ -332,6 +406,7 @@
         m_models[upstream].isCrashed = true;
         std::vector<size_t> running;
         running.swap(m_models[upstream].running);
+        suspect(upstream, running);
         for (size_t index : running) {
             m_attempts[index].outcome = Outcome::Unknown;
             m_attempts[index].reason = RefusalReason::UpstreamCrashed;
@@ -339,7 +414,45 @@
             answer(index);
         }
         serveQueue(upstream);
-        schedule(m_now + detail::gossipDelay, Kind::Publish, 0);
+        publish();
+    }
+
+    // Each request that was running is a suspect. Reports take the way of the responses, and arrive first.
+    void suspect(size_t upstream, const std::vector<size_t>& running)
+    {
+        std::vector<Fingerprint> fingerprints;
+        for (size_t index : running) {
+            const TraceArrival& arrival = *m_requests[m_attempts[index].request].arrival;
+            fingerprints.push_back(fingerprintOf(m_attempts[index].request));
+            if (arrival.isPoison)
+                ++m_result.crashesByFingerprint[fingerprints.back()];
+        }
+        size_t own = m_balancers.size() + upstream;
+        for (const CrashReport& report :
+            m_filters[own]->crashed({ m_random(), m_random() }, std::span<const Fingerprint>(fingerprints), now())) {
+            for (size_t i = 0; i < m_filters.size(); ++i) {
+                if (i != own)
+                    tell(report, centreOfUpstream(upstream), i);
+            }
+        }
+    }
+
+    void tell(const CrashReport& report, size_t from, size_t filter)
+    {
+        bool isEntry = filter < m_balancers.size();
+        size_t to = isEntry ? centreOfEntry(filter) : centreOfUpstream(filter - m_balancers.size());
+        if (isCut(from, to))
+            return;
+        m_reports.push_back({ report, filter });
+        schedule(m_now + delay(from, to), Kind::CrashReported, m_reports.size() - 1);
+    }
+
+    // Requests of the trace without a fingerprint are all different.
+    Fingerprint fingerprintOf(size_t request) const
+    {
+        constexpr Fingerprint ordinary = Fingerprint { 1 } << 63;
+        Fingerprint declared = m_requests[request].arrival->fingerprint;
+        return declared ? declared : ordinary | request;
     }
 
     void restart(size_t upstream)
@@ -349,8 +462,16 @@
         model.isDraining = false;
         model.coldUntil = m_now + detail::coldTime;
         m_detectors[upstream]->reset(now());
-        for (Duration step = detail::gossipDelay; step <= detail::coldTime + detail::gossipDelay; step += 1s)
-            schedule(m_now + step, Kind::Publish, 0);
+        setCold(upstream, true);
+        m_conditions[upstream].restarted(now());
+        for (Duration step = 0s; step <= detail::coldTime; step += 1s)
+            schedule(m_now + step, Kind::Snapshot, 0);
+    }
+
+    void setCold(size_t upstream, bool isCold)
+    {
+        if constexpr (requires(DetectorType & detector) { detector.setCold(isCold, now()); })
+            m_detectors[upstream]->setCold(isCold, now());
     }
 
     //-------------------------------------------------------------------------
@@ -412,6 +533,8 @@
     void attempt(size_t index)
     {
         Request& request = m_requests[index];
+        if (m_filters[request.entry]->refusedAfter(fingerprintOf(index), now()))
+            return finish(index, RefusalReason::QueryOfDeath, SampleKind::Failed);
         BalanceRequest wanted;
         wanted.service = m_header.services[request.arrival->service].name;
         wanted.workClass = request.arrival->workClass;
@@ -491,6 +614,7 @@
     {
         Request& request = m_requests[index];
         request.isAnswered = true;
+        m_filters[request.entry]->succeeded(fingerprintOf(index));
         const TraceArrival& arrival = *request.arrival;
         forOutcomes(arrival, [](ClassOutcome& outcome) { ++outcome.good; });
         if (isInFullPeak(m_now))
@@ -561,11 +685,7 @@
             return UpstreamState::Gone;
         if (model.isDraining)
             return UpstreamState::Draining;
-        if (model.ejectedUntil > m_now)
-            return UpstreamState::Ejected;
-        if (model.isDegraded)
-            return UpstreamState::Degraded;
-        return model.coldUntil > m_now ? UpstreamState::Cold : UpstreamState::Ready;
+        return m_conditions[upstream].state();
     }
 
     void executorArrival(size_t index)
@@ -579,8 +699,8 @@
             return refuse(index, RefusalReason::UpstreamUnreachable);
         if (state == UpstreamState::Draining)
             return refuse(index, RefusalReason::Draining);
-        if (state == UpstreamState::Ejected)
-            return refuse(index, RefusalReason::Ejected);
+        if (m_filters[m_balancers.size() + upstream]->refusedAfter(fingerprintOf(attempt.request), now()))
+            return refuse(index, RefusalReason::QueryOfDeath);
         Duration back = delay(centreOfUpstream(upstream), centreOfEntry(request.entry));
         AdmissionRequest offer;
         offer.ticket = index;
@@ -638,6 +758,7 @@
         attempt.dispatchedAt = m_now;
         attempt.outcome = Outcome::Ran;
         model.running.push_back(index);
+        m_dispatches[attempt.upstream].push_back(m_now);
         m_result.repeatedRuns += ++request.runs > 1 && !isRepeatable(request);
         if (m_header.faultAt > Duration::zero() && m_now >= m_header.faultAt + 10s)
             ++m_result.servedAfterFault[attempt.upstream];
@@ -689,6 +810,8 @@
             return restart(upstream);
         }
         std::erase(m_models[upstream].running, index);
+        m_filters[m_balancers.size() + upstream]->succeeded(fingerprintOf(attempt.request));
+        m_models[upstream].hasNewAnswers = true;
         m_detectors[upstream]->record({ attempt.kind, arrival.route, attempt.serviceTime }, now());
         bool completed = attempt.kind == SampleKind::Ok || attempt.kind == SampleKind::Wrong;
         m_queues[upstream]->finish(index, attempt.serviceTime, completed, now());
@@ -719,61 +842,97 @@
     // [SECTION] Detection
     //-------------------------------------------------------------------------
 
-    std::vector<HealthSummary> summariesExcept(size_t upstream) const
+    static constexpr bool hasSummaries = requires(DetectorType & detector)
+    {
+        detector.summary(std::string_view(), Instant());
+    };
+
+    detail::PeerSummary& peerSummary(size_t at, size_t of) { return m_peerSummaries[at * m_models.size() + of]; }
+
+    std::vector<HealthSummary> freshSummaries(size_t upstream)
     {
         std::vector<HealthSummary> peers;
-        if constexpr (requires(const DetectorType& detector) { detector.summary(); }) {
-            for (size_t i = 0; i < m_detectors.size(); ++i) {
-                if (i != upstream && m_header.upstreams[i].service == m_header.upstreams[upstream].service)
-                    peers.push_back(m_detectors[i]->summary());
-            }
+        for (size_t i = 0; hasSummaries && i < m_models.size(); ++i) {
+            const detail::PeerSummary& it = peerSummary(upstream, i);
+            if (it.isKnown && it.arrivesAt <= m_now && m_now - it.arrivesAt <= detail::summaryLifetime)
+                peers.push_back(it.summary);
         }
         return peers;
     }
 
-    bool floorAllowsEjection(size_t upstream) const
+    // The exchange interval is longer than any delay, so one message per pair is on its way at a time.
+    void sendSummaries()
     {
-        uint16_t service = m_header.upstreams[upstream].service;
-        uint32_t slots = 0;
-        for (size_t i = 0; i < m_models.size(); ++i) {
-            UpstreamState state = stateOf(i);
-            bool isEligible = state == UpstreamState::Ready || state == UpstreamState::Degraded;
-            if (i != upstream && isEligible && m_header.upstreams[i].service == service)
-                slots += m_header.upstreams[i].slots;
+        if constexpr (hasSummaries) {
+            for (size_t from = 0; from < m_models.size(); ++from) {
+                if (m_models[from].isCrashed)
+                    continue;
+                HealthSummary summary = m_detectors[from]->summary(m_header.upstreams[from].name, now());
+                for (size_t to = 0; to < m_models.size(); ++to) {
+                    size_t a = centreOfUpstream(from);
+                    size_t b = centreOfUpstream(to);
+                    if (to != from && m_header.upstreams[to].service == m_header.upstreams[from].service
+                        && !isCut(a, b))
+                        peerSummary(to, from) = { summary, m_now + delay(a, b), true };
+                }
+            }
         }
-        return slots >= m_header.services[service].floorSlots;
     }
 
     void evaluate()
     {
-        for (size_t i = 0; i < m_models.size(); ++i)
-            judge(i, m_detectors[i]->evaluate(summariesExcept(i), now()));
+        bool isRamping = false;
+        for (size_t i = 0; i < m_models.size(); ++i) {
+            judge(i);
+            isRamping
+                = isRamping || (m_conditions[i].state() == UpstreamState::Ready && m_conditions[i].share(now()) < 1);
+        }
+        if (isRamping)
+            publish();
+        sendSummaries();
         if (!m_isDrained && m_now >= m_header.peakEnd + peakRamp)
             checkDrained();
         if (m_now < m_header.duration)
             schedule(m_now + detail::evaluateInterval, Kind::Evaluate, 0);
     }
 
-    void judge(size_t upstream, Verdict verdict)
+    void judge(size_t upstream)
     {
         Model& model = m_models[upstream];
-        if (model.ejectedUntil > m_now)
-            return;
-        bool isSick = verdict == Verdict::Sick;
-        if (isSick == model.isDegraded)
-            return;
-        model.isDegraded = isSick;
-        schedule(m_now + detail::gossipDelay, Kind::Publish, 0);
-        if (!isSick)
-            return;
-        ++m_result.degradations;
-        if (!floorAllowsEjection(upstream))
+        Condition& condition = m_conditions[upstream];
+        if (model.isCrashed)
             return;
-        ++m_result.ejections;
-        model.isDegraded = false;
-        model.ejectedUntil = m_now + m_header.services[m_header.upstreams[upstream].service].detection.probation;
-        m_detectors[upstream]->reset(now());
-        schedule(model.ejectedUntil + detail::gossipDelay, Kind::Publish, 0);
+        UpstreamState before = condition.state();
+        if (before == UpstreamState::Cold && m_now >= model.coldUntil) {
+            condition.started(now());
+            setCold(upstream, false);
+        }
+        Verdict verdict = m_detectors[upstream]->evaluate(freshSummaries(upstream), now());
+        condition.verdict(model.hasNewAnswers ? verdict : Verdict::Healthy, now());
+        model.hasNewAnswers = false;
+        if (before == UpstreamState::Degraded && condition.state() == UpstreamState::Ready)
+            m_detectors[upstream]->reset(now()); // old evidence must not degrade it again
+        if (before != condition.state())
+            publish();
+        countDeparture(upstream, before);
+    }
+
+    void countDeparture(size_t upstream, UpstreamState before)
+    {
+        Model& model = m_models[upstream];
+        const Condition& condition = m_conditions[upstream];
+        if (condition.state() == UpstreamState::Degraded && before != UpstreamState::Degraded) {
+            ++m_result.degradations;
+            m_result.falseDegradations += !model.faultAt;
+            if (model.faultAt && !model.degradedAt)
+                model.degradedAt = m_now;
+        }
+        bool asks = condition.wantsEjection();
+        if (asks && !model.askedForEjection) {
+            ++m_result.ejectionRequests;
+            m_result.falseEjectionRequests += !model.faultAt;
+        }
+        model.askedForEjection = asks;
     }
 
     void checkDrained()
@@ -785,7 +944,20 @@
 
     std::string nodeOf(size_t upstream) const { return "node-" + m_header.upstreams[upstream].name; }
 
+    // Entries learn the present states after the gossip delay.
     void publish()
+    {
+        m_published.push_back(snapshot());
+        schedule(m_now + detail::gossipDelay, Kind::Publish, 0);
+    }
+
+    void deliver(const std::shared_ptr<const CandidateList>& candidates)
+    {
+        for (auto& balancer : m_balancers)
+            balancer->setCandidates(candidates, now());
+    }
+
+    std::shared_ptr<const CandidateList> snapshot() const
     {
         auto candidates = std::make_shared<CandidateList>();
         for (size_t i = 0; i < m_models.size(); ++i) {
@@ -797,6 +969,8 @@
             candidate.location = m_header.dataCentres[upstream.dataCentre];
             candidate.slots = upstream.slots;
             candidate.state = stateOf(i);
+            if (candidate.state == UpstreamState::Ready)
+                candidate.share = m_conditions[i].share(now());
             if (m_models[i].coldUntil > m_now) {
                 double cold = static_cast<double>((m_models[i].coldUntil - m_now).count()) / detail::coldTime.count();
                 candidate.share = std::clamp(1 - cold, 0.1, 1.0);
@@ -806,8 +980,7 @@
         std::sort(candidates->begin(), candidates->end(), [](const Candidate& a, const Candidate& b) {
             return std::tie(a.service, a.upstream) < std::tie(b.service, b.upstream);
         });
-        for (auto& balancer : m_balancers)
-            balancer->setCandidates(candidates, now());
+        return candidates;
     }
 
     //-------------------------------------------------------------------------
@@ -835,8 +1008,41 @@
         ++bySecond[second];
     }
 
+    // The usual rate is that before the fault.
+    std::optional<Duration> trafficLost(const std::vector<Duration>& dispatches, Duration faultAt) const
+    {
+        auto fault = std::lower_bound(dispatches.begin(), dispatches.end(), faultAt);
+        double allowedPerMicrosecond = detail::lostTrafficShare * static_cast<double>(fault - dispatches.begin())
+            / static_cast<double>(faultAt.count());
+        Duration start = faultAt;
+        for (auto it = fault; start + detail::trafficWindows.back() <= m_header.duration; ++it) {
+            auto isLow = [&](Duration window) {
+                auto end = std::upper_bound(it, dispatches.end(), start + window);
+                return static_cast<double>(end - it) <= allowedPerMicrosecond * static_cast<double>(window.count());
+            };
+            if (std::all_of(detail::trafficWindows.begin(), detail::trafficWindows.end(), isLow))
+                return start - faultAt;
+            start = *it; // the next windows begin after this request
+        }
+        return std::nullopt;
+    }
+
+    void summariseFaults()
+    {
+        for (size_t i = 0; i < m_models.size(); ++i) {
+            const Model& model = m_models[i];
+            if (!model.faultAt)
+                continue;
+            FaultOutcome outcome { i, *model.faultAt, trafficLost(m_dispatches[i], *model.faultAt), {} };
+            if (model.degradedAt)
+                outcome.degraded = *model.degradedAt - *model.faultAt;
+            m_result.faults.push_back(outcome);
+        }
+    }
+
     void summarise()
     {
+        summariseFaults();
         std::sort(m_result.shortWaits.begin(), m_result.shortWaits.end());
         std::sort(m_result.queueWaits.begin(), m_result.queueWaits.end());
         if (m_header.peakEnd > m_header.peakStart)
@@ -880,6 +1086,12 @@
     std::vector<std::unique_ptr<RetryType>> m_retries; // by entry and service
     std::vector<std::unique_ptr<AdmissionType>> m_queues; // by upstream
     std::vector<std::unique_ptr<DetectorType>> m_detectors; // by upstream
+    std::vector<Condition> m_conditions; // by upstream
+    std::vector<std::unique_ptr<FilterType>> m_filters; // by entry, then by upstream
+    std::vector<detail::ReportInFlight> m_reports;
+    std::vector<detail::PeerSummary> m_peerSummaries; // by receiving and sending upstream
+    std::deque<std::shared_ptr<const CandidateList>> m_published; // not yet at the entries
+    std::vector<std::vector<Duration>> m_dispatches; // by upstream
     std::vector<Model> m_models; // by upstream
     std::unordered_map<std::string, size_t> m_upstreamIndex;
     std::vector<Request> m_requests;
@@ -901,8 +1113,11 @@
 // [SECTION] Policies
 //-----------------------------------------------------------------------------
 
-template <typename BalancerType, typename AdmissionType, typename DetectorType, typename RetryType>
+template <typename BalancerType, typename AdmissionType, typename DetectorType, typename RetryType,
+    Readmission ReadmissionType = FixedReadmission, CrashFiltering FilterType = PassAllFilter>
 struct ReplayPolicies {
+    using ReadmissionPolicy = ReadmissionType;
+
     std::unique_ptr<BalancerType> balancer(const Location& location, uint64_t seed, uint32_t entryCount) const
     {
         if constexpr (std::is_constructible_v<BalancerType, Location, uint64_t, BalancerOptions>) {
@@ -920,8 +1135,22 @@
     }
     std::unique_ptr<DetectorType> detector(const Service& service) const
     {
-        return std::make_unique<DetectorType>(service.detection);
+        if constexpr (std::is_constructible_v<DetectorType, HealthMonitorOptions>) {
+            HealthMonitorOptions options;
+            options.policy = service.detection;
+            return std::make_unique<DetectorType>(options);
+        } else {
+            return std::make_unique<DetectorType>(service.detection);
+        }
+    }
+    ReadmissionType readmission(const Service& service) const
+    {
+        if constexpr (std::is_constructible_v<ReadmissionType, DetectionPolicy>)
+            return ReadmissionType(service.detection);
+        else
+            return ReadmissionType();
     }
+    std::unique_ptr<FilterType> crashFilter() const { return std::make_unique<FilterType>(); }
     std::unique_ptr<RetryType> retry(const Service& service) const
     {
         return std::make_unique<RetryType>(service.retry);
--- a/src/core/Trace.cpp
+++ b/src/core/Trace.cpp
@@ -17,7 +17,8 @@
 constexpr std::array<std::string_view, 2> deploymentNames { "persatuan", "nivelaria" };
 constexpr std::array<std::string_view, scenarioCount> scenarioNames { "quiet", "peak", "short-only", "stragglers",
     "hidden-stragglers", "slow-upstream", "wrong-upstream", "flapping", "lying-reports", "one-way-cut", "region-cut",
-    "rolling", "cold-starts", "shedding", "query-of-death", "peak-with-slow", "cut-with-wrong" };
+    "rolling", "cold-starts", "shedding", "query-of-death", "peak-with-slow", "cut-with-wrong", "fail-one-in-five",
+    "wrong-one-in-five", "passing-checks", "lying-and-slow" };
 
 template <typename Enum, size_t n>
 std::optional<Enum> findName(const std::array<std::string_view, n>& names, std::string_view text)
@@ -98,6 +99,8 @@
         text["straggler"] = true;
     if (arrival.isPoison)
         text["poison"] = true;
+    if (arrival.fingerprint)
+        text["fingerprint"] = arrival.fingerprint;
     return text;
 }
 
@@ -237,6 +240,7 @@
     arrival.responseBytes = text.value("bytes", 0U);
     arrival.isStraggler = text.value("straggler", false);
     arrival.isPoison = text.value("poison", false);
+    arrival.fingerprint = text.value("fingerprint", uint64_t { 0 });
     if (text.contains("operation")) {
         auto operation = parseId128(text.at("operation").get<std::string>());
         require(operation.has_value(), "malformed operation");
@@ -554,14 +558,17 @@
         m_trace.events.emplace_back(TraceUpstreamChange { at, static_cast<uint16_t>(upstream), kind, value });
     }
 
+    // Two requests that their callers send again and again.
     void addPoison()
     {
-        int count = 0;
+        uint64_t count = 0;
         for (TraceEvent& event : m_trace.events) {
             auto* arrival = std::get_if<TraceArrival>(&event);
-            constexpr int every = 500;
-            if (arrival && arrival->at >= faultTime && arrival->service == 0 && ++count % every == 0)
-                arrival->isPoison = true;
+            constexpr uint64_t every = 500;
+            if (!arrival || arrival->at < faultTime || arrival->service != 0 || ++count % every)
+                continue;
+            arrival->isPoison = true;
+            arrival->fingerprint = 1 + count / every % 2;
         }
     }
 
@@ -625,6 +632,20 @@
         case Scenario::QueryOfDeath:
             addPoison();
             break;
+        case Scenario::FailOneInFive:
+            change(fault, victim, ChangeKind::Fail, 0.2);
+            break;
+        case Scenario::WrongOneInFive:
+            change(fault, victim, ChangeKind::Wrong, 0.2);
+            break;
+        case Scenario::PassingChecks:
+            change(fault, victim, ChangeKind::Fail, 0.5);
+            change(fault, victim, ChangeKind::PassChecks, 1);
+            break;
+        case Scenario::LyingAndSlow:
+            change(fault, victim, ChangeKind::Lie, 1);
+            change(fault, victim, ChangeKind::Slow, 5);
+            break;
         }
         m_trace.header.faultAt = fault;
     }
@@ -644,4 +665,26 @@
     return Generator(deployment, scenario, seed).run();
 }
 
+Trace thinTrace(Trace trace, double perUpstream, uint64_t seed)
+{
+    const TraceHeader& header = trace.header;
+    std::vector<double> arrivals(header.services.size());
+    for (const TraceEvent& event : trace.events) {
+        if (const auto* arrival = std::get_if<TraceArrival>(&event))
+            ++arrivals[arrival->service];
+    }
+    std::vector<double> upstreams(header.services.size());
+    for (const TraceUpstream& upstream : header.upstreams)
+        ++upstreams[upstream.service];
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<> uniform;
+    double duration = std::chrono::duration<double>(header.duration).count();
+    std::erase_if(trace.events, [&](const TraceEvent& event) {
+        const auto* arrival = std::get_if<TraceArrival>(&event);
+        return arrival
+            && uniform(random) * arrivals[arrival->service] >= perUpstream * upstreams[arrival->service] * duration;
+    });
+    return trace;
+}
+
 } // namespace Gooseberrymill
--- a/src/core/Trace.h
+++ b/src/core/Trace.h
@@ -51,6 +51,7 @@
     Id128 operation; // zero: none
     bool isStraggler = false;
     bool isPoison = false; // crashes the upstream that runs it
+    uint64_t fingerprint = 0; // equal requests have the same; zero: unlike any other
     bool operator==(const TraceArrival&) const = default;
 };
 
@@ -130,8 +131,12 @@
     QueryOfDeath,
     PeakWithSlow, // Peak and SlowUpstream together
     CutWithWrong, // OneWayCut and WrongUpstream together
+    FailOneInFive,
+    WrongOneInFive,
+    PassingChecks, // half of the requests fail while health checks succeed
+    LyingAndSlow, // five times slower while load reports claim to be idle
 };
-constexpr size_t scenarioCount = 17;
+constexpr size_t scenarioCount = 21;
 
 std::string_view toString(Deployment);
 std::string_view toString(Scenario);
@@ -140,4 +145,8 @@
 
 Trace generateTrace(Deployment deployment, Scenario scenario, uint64_t seed);
 
+// Drops arrivals at random until each service gets `perUpstream` requests a second for each of its upstreams.
+// A service with fewer requests keeps them all.
+Trace thinTrace(Trace trace, double perUpstream, uint64_t seed);
+
 } // namespace Gooseberrymill
--- a/src/node/BenchCommand.cpp
+++ b/src/node/BenchCommand.cpp
@@ -26,10 +26,37 @@
     double victimShare = 0; // of the requests after the fault, for the first upstream; even would be 2.8%
     uint64_t wrong = 0;
     uint64_t untrue = 0;
+    bool hasFault = false;
+    std::optional<double> lostSeconds = 0; // from the fault until the traffic is lost; empty: not lost in some seed
+    uint64_t falseDegradations = 0;
+    uint64_t falseEjections = 0; // asked for
+    uint64_t crashesPerRequest = 0;
 };
 
 double milliseconds(Duration duration) { return static_cast<double>(duration.count()) / 1000; }
 
+void mergeDetection(Row& row, const ReplayResult& result)
+{
+    for (const FaultOutcome& fault : result.faults) {
+        row.hasFault = true;
+        if (!fault.trafficLost)
+            row.lostSeconds.reset();
+        else if (row.lostSeconds)
+            row.lostSeconds = std::max(*row.lostSeconds, milliseconds(*fault.trafficLost) / 1000);
+    }
+    row.falseDegradations = std::max(row.falseDegradations, result.falseDegradations);
+    row.falseEjections = std::max(row.falseEjections, result.falseEjectionRequests);
+    for (const auto& [fingerprint, crashes] : result.crashesByFingerprint)
+        row.crashesPerRequest = std::max(row.crashesPerRequest, crashes);
+}
+
+std::string lostText(const Row& row)
+{
+    if (!row.hasFault)
+        return "-";
+    return row.lostSeconds ? fmt::format("{:.1f}", *row.lostSeconds) : "never";
+}
+
 void merge(Row& row, const ReplayResult& result, bool hasPeak)
 {
     uint64_t offered = 0;
@@ -59,28 +86,32 @@
             = std::max(row.victimShare, static_cast<double>(result.servedAfterFault[0]) / static_cast<double>(served));
     row.wrong = std::max(row.wrong, result.wrongDelivered);
     row.untrue = std::max(row.untrue, result.falseNotRun + result.repeatedRuns);
+    mergeDetection(row, result);
 }
 
 void printRow(bool csv, const TraceHeader& header, std::string_view policies, const Row& row)
 {
     bool hasPeak = header.peakEnd > header.peakStart;
-    auto format = csv
-        ? "{},{},{},{:.4f},{:.4f},{},{},{:.1f},{:.1f},{:.3f},{:.2f},{:.4f},{},{}\n"
-        : "{:9} {:17} {:18} {:8.4f} {:8.4f} {:>6} {:>6} {:10.1f} {:10.1f} {:6.3f} {:8.2f} {:7.4f} {:6} {:6}\n";
+    auto format = csv ? "{},{},{},{:.4f},{:.4f},{},{},{:.1f},{:.1f},{:.3f},{:.2f},{:.4f},{},{},{},{},{},{}\n"
+                      : "{:9} {:17} {:18} {:8.4f} {:8.4f} {:>6} {:>6} {:10.1f} {:10.1f} {:6.3f} {:8.2f} {:7.4f} {:6} "
+                        "{:6} {:>6} {:6} {:6} {:7}\n";
     fmt::print(fmt::runtime(format), header.deployment, header.scenario, policies, row.criticalGood, row.allGood,
         hasPeak ? fmt::format("{:.3f}", row.peakGoodput) : "-", hasPeak ? fmt::format("{:.1f}", row.drainSeconds) : "-",
-        row.waitP99, row.queueP99, row.amplification, row.crossRegionMegabytes, row.victimShare, row.wrong, row.untrue);
+        row.waitP99, row.queueP99, row.amplification, row.crossRegionMegabytes, row.victimShare, row.wrong, row.untrue,
+        lostText(row), row.falseDegradations, row.falseEjections, row.crashesPerRequest);
 }
 
 void printHead(bool csv)
 {
     if (csv)
         fmt::print("deployment,scenario,policies,critical_good,all_good,peak_goodput,drain_s,wait_p99_ms,queue_p99_ms,"
-                   "attempts_per_offered,cross_region_mb,victim_share,wrong_delivered,untrue\n");
+                   "attempts_per_offered,cross_region_mb,victim_share,wrong_delivered,untrue,traffic_lost_s,"
+                   "false_degradations,false_ejection_requests,crashes_per_request\n");
     else
-        fmt::print("{:9} {:17} {:18} {:>8} {:>8} {:>6} {:>6} {:>10} {:>10} {:>6} {:>8} {:>7} {:>6} {:>6}\n", "deployed",
-            "scenario", "policies", "critical", "all good", "peak", "drain", "wait p99", "queue p99", "amplif",
-            "cross MB", "victim", "wrong", "untrue");
+        fmt::print("{:9} {:17} {:18} {:>8} {:>8} {:>6} {:>6} {:>10} {:>10} {:>6} {:>8} {:>7} {:>6} {:>6} {:>6} {:>6} "
+                   "{:>6} {:>7}\n",
+            "deployed", "scenario", "policies", "critical", "all good", "peak", "drain", "wait p99", "queue p99",
+            "amplif", "cross MB", "victim", "wrong", "untrue", "lost s", "f.degr", "f.ejct", "crashes");
 }
 
 template <typename Policies>
@@ -104,6 +135,9 @@
     using None = NeverSickDetector;
     using Errors = ConsecutiveErrorDetector;
     benchPolicies<ReplayPolicies<Balancer, Queue, None, AttemptPolicy>>(options, deployment, scenario, "fleet");
+    benchPolicies<
+        ReplayPolicies<Balancer, Queue, HealthMonitor, AttemptPolicy, ExponentialReadmission, QueryOfDeathFilter>>(
+        options, deployment, scenario, "fleet+detection");
     benchPolicies<ReplayPolicies<Balancer, Queue, Errors, AttemptPolicy>>(
         options, deployment, scenario, "fleet+errors");
     benchPolicies<ReplayPolicies<Balancer, FifoAdmission, None, AttemptPolicy>>(
--- a/src/node/ReplayCommand.cpp
+++ b/src/node/ReplayCommand.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-using Fleet = ReplayPolicies<Balancer, AdmissionQueue, ConsecutiveErrorDetector, AttemptPolicy>;
+using Fleet = ReplayPolicies<Balancer, AdmissionQueue, HealthMonitor, AttemptPolicy, ExponentialReadmission,
+    QueryOfDeathFilter>;
 using Baseline = ReplayPolicies<RoundRobinBalancer, FifoAdmission, NeverSickDetector, ThreeRetries>;
 
 Error makeError(ErrorCode code, std::string_view step, std::string detail)
@@ -74,10 +75,10 @@
         fmt::print("bytes {} -> {}: {}\n", regions.first, regions.second, bytes);
     for (const auto& [reason, count] : result.refusals)
         fmt::print("not run, {}: {}\n", toString(reason), count);
-    fmt::print("untrue not-run {}, repeated runs {}, wrong responses delivered {}, crashes {}, degradations {}, "
-               "ejections {}\n",
+    fmt::print("untrue not-run {}, repeated runs {}, wrong responses delivered {}, crashes {}, degradations {} "
+               "({} false), requests of ejection {} ({} false)\n",
         result.falseNotRun, result.repeatedRuns, result.wrongDelivered, result.crashes, result.degradations,
-        result.ejections);
+        result.falseDegradations, result.ejectionRequests, result.falseEjectionRequests);
     if (header.faultAt == Duration::zero())
         return;
     for (size_t i = 0; i < header.upstreams.size(); ++i)
