Judge answers of an upstream above 170 requests/s

Cause: answers wait for the judgement delay of 3 s in a buffer of 512, and a full buffer dropped its oldest answer. Above 512 answers in 3 s for one kind of work, no answer became old enough, so no fault was ever found. OutageProcessTests showed it: an upstream that answered only 500 kept its traffic, and no node had called it degraded when the limits of 10 s and 30 s ended.

Change: a full buffer leaves out the new answer. The answers judged are then a part of all that does not depend on their results.

--- a/src/core/HealthMonitor.cpp
+++ b/src/core/HealthMonitor.cpp
@@ -142,11 +142,12 @@
     Answer answer { now, 0, sample.kind != SampleKind::Ok };
     answer.logTime = static_cast<float>(std::log(std::max<double>(1, static_cast<double>(sample.serviceTime.count()))));
     work.window.push_back(answer);
-    work.pending.push_back(answer);
     if (work.window.size() > maxAnswers)
         work.window.pop_front();
-    if (work.pending.size() > maxAnswers)
-        work.pending.pop_front();
+    // When full, the new answer is left out: dropping the oldest would leave no answer old enough to be judged
+    // at more than maxAnswers within the judgement delay.
+    if (work.pending.size() < maxAnswers)
+        work.pending.push_back(answer);
     if (answer.bad)
         return;
     work.times.push_back(answer.logTime);
--- a/tests/FleetHarness.h
+++ b/tests/FleetHarness.h
@@ -57,6 +57,7 @@
         : m_logFile(std::move(logFile))
     {
         std::vector<char*> argv;
+        argv.reserve(arguments.size() + 1);
         for (const std::string& it : arguments)
             argv.push_back(const_cast<char*>(it.c_str()));
         argv.push_back(nullptr);
@@ -594,7 +595,8 @@
         std::vector<std::string> failures; // anything else
     };
 
-    Load(Fleet& fleet, const std::vector<size_t>& nodes, size_t callersPerNode = 2, std::vector<Header> headers = {})
+    Load(Fleet& fleet, const std::vector<size_t>& nodes, size_t callersPerNode = 2,
+        const std::vector<Header>& headers = {})
     {
         for (size_t i : nodes) {
             for (size_t n = 0; n < callersPerNode; ++n)
--- a/tests/HealthMonitorTests.cpp
+++ b/tests/HealthMonitorTests.cpp
@@ -205,6 +205,34 @@
     BOOST_TEST(times.back() <= 10);
 }
 
+// Guards against answers that leave the bounded buffer before they are old enough to be judged.
+BOOST_AUTO_TEST_CASE(detectsFaultsAtSixHundredRequestsPerSecond)
+{
+    constexpr size_t upstreams = 4;
+    constexpr double highRate = 600;
+    constexpr double start = 30;
+    constexpr double bound = 10;
+    for (const Behaviour& faulty : { Behaviour { .rate = highRate, .slowness = 5 },
+             Behaviour { .rate = highRate, .badShare = 0.2 }, Behaviour { .rate = highRate, .badShare = 1 } }) {
+        for (uint32_t seed = 1; seed <= 5; ++seed) {
+            ServiceSimulation<HealthMonitor> simulation(upstreams, seed, [&](size_t i, double second) {
+                return i == 0 && second >= start ? faulty : Behaviour { .rate = highRate };
+            });
+            uint64_t early = 0;
+            for (double second = 0; second < start; ++second)
+                early += simulation.step(second) != Verdict::Healthy ? 1 : 0;
+            double found = INFINITY;
+            for (double second = start; second < start + bound && found == INFINITY; ++second) {
+                simulation.step(second);
+                if (simulation.verdicts[0] != Verdict::Healthy)
+                    found = second + 1 - start;
+            }
+            BOOST_TEST(early == 0U);
+            BOOST_TEST(found <= bound);
+        }
+    }
+}
+
 // Guards against wrong answers being judged later than failed ones.
 BOOST_AUTO_TEST_CASE(detectsWrongAnswersAtTenRequestsPerSecond)
 {
