--- a/src/node/CrashSuspects.cpp
+++ b/src/node/CrashSuspects.cpp
@@ -14,6 +14,7 @@
 constexpr Duration cleanupPeriod = 5s;
 constexpr uint32_t maxDeliveryAttempts = 5;
 constexpr Duration deliveryPeriod = CrashSuspects::acknowledgementLimit / maxDeliveryAttempts;
+constexpr Duration idleConnectionLimit = 30s; // notices are rare
 constexpr uint32_t timesAsked = 2; // a peer that did not know this node yet may have left it out of its first notice
 constexpr size_t maxCloses = maxCrashReports; // remembered of one upstream
 constexpr size_t maxSuccesses = 50'000;
@@ -24,7 +25,7 @@
     CrashSuspectsHooks hooks, QueryOfDeathLimits limits)
     : m_task(task)
     , m_identity(identity)
-    , m_client(task.context(), identity, connectTimeout)
+    , m_client(task.context(), identity, connectTimeout, idleConnectionLimit)
     , m_hooks(std::move(hooks))
     , m_filter(limits)
 {
