--- a/tests/PathOutcomeTests.cpp
+++ b/tests/PathOutcomeTests.cpp
@@ -392,7 +392,7 @@
 BOOST_AUTO_TEST_CASE(stopServesConnectionsWithoutRequestYet)
 {
     FleetOptions options { .nodes = 2, .workers = 1 };
-    options.adjust = [](Settings& settings) { settings.drainGrace = 1s; };
+    options.adjust = [](Settings& settings) { settings.drainGrace = 2s; };
     TestFleet fleet(options);
     HttpCaller late(fleet.port());
     HttpCaller silent(fleet.port());
@@ -402,6 +402,8 @@
     auto ended = done.get_future();
     fleet[0].node->stop([&] { done.set_value(); });
     BOOST_REQUIRE(eventually([&] { return !HttpCaller(fleet.port()).isConnected(); }));
+    // Several sweeps later the connection must still be there.
+    BOOST_TEST((ended.wait_for(200ms) == std::future_status::timeout));
     auto response = late.request("GET", "/read/late");
     BOOST_TEST(response.status == 200);
     BOOST_TEST(response.header("Connection") == "close");
