Pass hooks of the control plane by reference

Cause: clang-tidy reports parameters of three lambdas in ControlPlane.cpp that are copied and only read.

Change: const references.

--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -141,11 +141,12 @@
         services->operations->begin(head, body, std::move(decide));
     };
     gate.leave = [services = m_services](const RequestHead& head) { services->operations->leave(head); };
-    gate.settle = [services = m_services](const RequestHead& head, std::shared_ptr<const StoredResponse> response,
-                      bool delivered) { services->operations->settle(head, response, delivered); };
+    gate.settle
+        = [services = m_services](const RequestHead& head, const std::shared_ptr<const StoredResponse>& response,
+              bool delivered) { services->operations->settle(head, response, delivered); };
     gate.finish = [services = m_services](
                       const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
-    hooks.token = [services = m_services](TokenQuery&& query, std::function<void(TokenReply)> reply) {
+    hooks.token = [services = m_services](TokenQuery&& query, const std::function<void(TokenReply)>& reply) {
         reply(services->operations->issueToken(query));
     };
     hooks.sample = [services = m_services](const std::string& upstream, const Sample& sample, Instant now) {
@@ -197,7 +198,7 @@
 ConfigurationHooks ControlPlane::configurationHooks()
 {
     ConfigurationHooks hooks;
-    hooks.inForce = [this](std::shared_ptr<const RouteTable> routes) { onRoutes(routes); };
+    hooks.inForce = [this](const std::shared_ptr<const RouteTable>& routes) { onRoutes(routes); };
     hooks.digestChanged = [this](uint64_t digest) {
         m_digest = digest;
         m_membership->setConfigurationDigest(digest);
