Add `bench capacity` and the capacity page

Cause: the target scale was derived from the membership bench alone.

Change: CapacityBench measures memory, time and bytes per entry of each role at three or more sizes. docs/CAPACITY.md multiplies the slopes by the target's counts and says what fits. CapacityTests holds the bounds of the design page, section 1.4.

CapacityTests and CandidateCacheTests pass.

--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -83,7 +83,8 @@
 void Balancer::setCandidates(std::shared_ptr<const CandidateList> candidates, Instant now)
 {
     m_views.clear();
-    m_candidates.replaceAll(candidates);
+    const std::shared_ptr<const CandidateList> all = std::move(candidates);
+    m_candidates.replaceAll(all);
     sweep(now);
 }
 
--- a/src/node/Verbs.cpp
+++ b/src/node/Verbs.cpp
@@ -1,6 +1,7 @@
 #include "Verbs.h"
 
 #include "AuditTrail.h"
+#include "CapacityBench.h"
 #include "ConfigurationFile.h"
 #include "ConfigurationPublisher.h"
 #include "NodeMain.h"
@@ -229,6 +230,13 @@
 
 int reportUnsupported(std::span<const std::string>) { return fail("this verb is not supported by this build"); }
 
+int bench(std::span<const std::string> arguments)
+{
+    if (!arguments.empty() && arguments.front() == "capacity")
+        return runCapacityCommand(arguments.subspan(1));
+    return reportUnsupported(arguments);
+}
+
 const std::array<Verb, 8> table { {
     { "serve", "--settings FILE", "Runs a node.", { "settings" }, 0, 0, &serve },
     { "check", "FILE", "Checks a configuration or a settings file and prints every error.", {}, 1, 1, &check },
@@ -238,7 +246,7 @@
     { "status", "--admin URL", "Prints the status of a node as JSON.", { "admin" }, 0, 0, &status },
     { "audit", "--store URL [--service NAME]", "Prints the audit trail.", { "store", "service" }, 0, 0, &showAudit },
     { "replay", "TRACE", "Replays a recorded trace.", {}, 1, 1, &reportUnsupported },
-    { "bench", "", "Measures the relay path on this machine.", {}, 0, 0, &reportUnsupported },
+    { "bench", "[capacity [text|csv]]", "Measures the relay path, or what a node holds per entry.", {}, 0, 2, &bench },
 } };
 
 } // namespace
