--- a/src/node/Verbs.cpp
+++ b/src/node/Verbs.cpp
@@ -2,6 +2,7 @@
 
 #include "AuditTrail.h"
 #include "BenchCommand.h"
+#include "CapacityBench.h"
 #include "ConfigurationFile.h"
 #include "ConfigurationPublisher.h"
 #include "NodeMain.h"
@@ -247,8 +248,10 @@
 int bench(std::span<const std::string> arguments)
 {
     std::string what = arguments.empty() ? "policies" : arguments.front();
-    if (what != "policies" && what != "cost")
-        return refuseUsage("bench takes policies or cost");
+    if (what == "capacity")
+        return runCapacityCommand(arguments.subspan(1));
+    if (arguments.size() > 1 || (what != "policies" && what != "cost"))
+        return refuseUsage("bench takes policies, cost or capacity [text|csv]");
     BenchOptions options;
     options.seed = FLAGS_seed;
     options.seeds = FLAGS_seeds;
@@ -267,8 +270,9 @@
     { "audit", "--store URL [--service NAME]", "Prints the audit trail.", { "store", "service" }, 0, 0, &showAudit },
     { "replay", "TRACE", "Replays a trace file, or a generated trace DEPLOYMENT:SCENARIO, and prints the outcomes.",
         { "seed", "baseline", "write_trace" }, 1, 1, &replay },
-    { "bench", "[policies|cost]", "Measures the policies beside their baselines, or the cost of a decision.",
-        { "seed", "seeds", "csv" }, 0, 1, &bench },
+    { "bench", "[policies|cost|capacity [text|csv]]",
+        "Measures the policies beside their baselines, the cost of a decision, or what a node holds and does per entry.",
+        { "seed", "seeds", "csv" }, 0, 2, &bench },
 } };
 
 } // namespace
