--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -243,7 +243,9 @@
 
 bool Balancer::isEligible(const Member& member, const BalanceRequest& request, Pass pass, Instant now) const
 {
-    UpstreamState state = stateOf(member, now);
+    // The last resort asks an upstream although a recent report refused: it may have returned since, and
+    // a refusal costs less than no answer.
+    UpstreamState state = pass == Pass::BadPath ? member.candidate->state : stateOf(member, now);
     if (!takesWork(state))
         return false;
     if (std::find(request.exclude.begin(), request.exclude.end(), member.candidate->upstream) != request.exclude.end())
--- a/src/node/BenchCommand.cpp
+++ b/src/node/BenchCommand.cpp
@@ -95,7 +95,8 @@
     auto format = csv ? "{},{},{},{:.4f},{:.4f},{},{},{:.1f},{:.1f},{:.3f},{:.2f},{:.4f},{},{},{},{},{},{}\n"
                       : "{:9} {:17} {:18} {:8.4f} {:8.4f} {:>6} {:>6} {:10.1f} {:10.1f} {:6.3f} {:8.2f} {:7.4f} {:6} "
                         "{:6} {:>6} {:6} {:6} {:7}\n";
-    fmt::print(fmt::runtime(format), header.deployment, header.scenario, policies, row.criticalGood, row.allGood,
+    fmt::print(fmt::runtime(format), header.deployment, header.scenario,
+        csv ? fmt::format("\"{}\"", policies) : std::string(policies), row.criticalGood, row.allGood,
         hasPeak ? fmt::format("{:.3f}", row.peakGoodput) : "-", hasPeak ? fmt::format("{:.1f}", row.drainSeconds) : "-",
         row.waitP99, row.queueP99, row.amplification, row.crossRegionMegabytes, row.victimShare, row.wrong, row.untrue,
         lostText(row), row.falseDegradations, row.falseEjections, row.crashesPerRequest);
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -581,6 +581,8 @@
     set("gossip_sent_count", "Gossip datagrams sent since the start.", static_cast<double>(gossip.messages));
     set("gossip_dropped_count", "Datagrams dropped as invalid or replayed.",
         static_cast<double>(m_gossip->drops().total()));
+    set("relay_dropped_count", "Relay connections closed because of invalid input.",
+        static_cast<double>(m_node->relayDropCount()));
     set("members_live_count", "Members alive or suspected, this node included.",
         static_cast<double>(m_membership->liveCount()));
     set("operations_unresolved_count", "Operations whose caller may not know the outcome.",
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -167,6 +167,7 @@
     // Refuses new requests, calls `done` once every request in flight has ended and its response was sent.
     void drain(std::function<void()> done);
     size_t activeCount() const { return m_jobs.size(); }
+    uint64_t relayDropCount() const { return m_server.droppedCount(); }
 
 protected:
     virtual std::unique_ptr<AdmissionPort> makeQueue(const UpstreamEndpoint&) = 0;
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -30,6 +30,7 @@
     // Runs the message on the executor's task.
     void postExecutor(Mailbox::Message message) { m_executorTask->post(std::move(message)); }
 
+    uint64_t relayDropCount() const { return m_executor->relayDropCount(); } // from any task
     uint16_t callerPort() const { return m_callerPort; }
     std::string relayAddress() const; // advertised, or the one bound
     const Id128& incarnation() const { return m_identity.incarnation; }
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -151,8 +151,10 @@
                 onMessage(self, std::move(message));
         },
         [this, weak](const Error& error) {
-            if (error.code != ErrorCode::Closed && error.code != ErrorCode::Unavailable)
+            if (error.code != ErrorCode::Closed && error.code != ErrorCode::Unavailable) {
+                ++m_dropped;
                 log(LogLevel::Warning, "relay.connection-failed", error);
+            }
             if (auto self = weak.lock())
                 onClosed(self);
         },
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -4,6 +4,7 @@
 #include "RelayConnection.h"
 #include "Settings.h"
 
+#include <atomic>
 #include <set>
 
 namespace Gooseberrymill {
@@ -64,6 +65,7 @@
 
     Result<uint16_t> listen(const ListenAddress&); // the port taken
     size_t connectionCount() const { return m_peers.size(); }
+    uint64_t droppedCount() const { return m_dropped; } // connections closed because of invalid input; from any task
 
     // Tells the peers that no more requests are taken. Idle connections end at once, others with their request.
     void close();
@@ -94,6 +96,7 @@
     SourceHandle m_retrySource;
     std::set<std::shared_ptr<Peer>> m_peers;
     bool m_closing = false;
+    std::atomic<uint64_t> m_dropped { 0 };
 };
 
 } // namespace Gooseberrymill
--- a/src/node/UpstreamSupervisor.h
+++ b/src/node/UpstreamSupervisor.h
@@ -82,7 +82,11 @@
         update(now);
     }
 
-    void record(const Sample& sample, Instant now) { m_monitor.record(sample, now); }
+    void record(const Sample& sample, Instant now)
+    {
+        m_monitor.record(sample, now);
+        m_hasNewSamples = true;
+    }
 
     // The upstream crashed. It is gone until it announces again, and then starts cold without earlier evidence.
     void crashed(Instant now)
@@ -142,8 +146,13 @@
         const std::string& service = m_announcement.service;
         auto peers = m_hooks.peerHealth(service);
         std::erase_if(peers, [&](const HealthSummary& summary) { return summary.upstream == m_announcement.name; });
-        m_condition.verdict(m_monitor.evaluate(peers, now), now);
+        UpstreamState before = m_condition.state();
+        Verdict verdict = m_monitor.evaluate(peers, now);
+        // Old evidence about an upstream without traffic must neither prolong its probation nor outlive it.
+        m_condition.verdict(std::exchange(m_hasNewSamples, false) ? verdict : Verdict::Healthy, now);
         m_condition.tick(now);
+        if (before == UpstreamState::Degraded && m_condition.state() == UpstreamState::Ready)
+            m_monitor.reset(now);
         m_hooks.sendHealth(m_monitor.summary(m_announcement.name, now));
         handle(ViewChanged { m_hooks.views(service) }, now);
         handle(VerdictChanged { m_condition.wantsEjection(), m_monitor.severity() }, now);
@@ -266,6 +275,7 @@
     UpstreamState m_state = UpstreamState::Gone;
     std::string m_address;
     std::optional<UpstreamRecord> m_published;
+    bool m_hasNewSamples = false; // since the last evaluation
     Instant m_lastHeartbeat {};
     Instant m_nextEvaluation {};
     std::shared_ptr<bool> m_alive;
--- a/src/node/Verbs.cpp
+++ b/src/node/Verbs.cpp
@@ -271,7 +271,8 @@
     { "replay", "TRACE", "Replays a trace file, or a generated trace DEPLOYMENT:SCENARIO, and prints the outcomes.",
         { "seed", "baseline", "write_trace" }, 1, 1, &replay },
     { "bench", "[policies|cost|capacity [text|csv]]",
-        "Measures the policies beside their baselines, the cost of a decision, or what a node holds and does per entry.",
+        "Measures the policies beside their baselines, the cost of a decision, or what a node holds and does per "
+        "entry.",
         { "seed", "seeds", "csv" }, 0, 2, &bench },
 } };
 
--- a/tests/PathOutcomeTests.cpp
+++ b/tests/PathOutcomeTests.cpp
@@ -419,7 +419,7 @@
     ContextHandle context(g_main_context_new());
     RelayIdentity identity { "a key for tests only", "node", randomId() };
     RelayServer server(context.get(), identity,
-        { [](const std::shared_ptr<RelayExchange>& exchange) { exchange->refuse({}); }, {}, {} });
+        { [](const std::shared_ptr<RelayExchange>& exchange) { exchange->refuse({}); }, {}, {}, {} });
     auto port = server.listen({});
     BOOST_REQUIRE(port.has_value());
     RelayClient client(context.get(), identity, 5s, 200ms);
