Record traces, honour the drain limit, extend the embedding example

Cause: the settings trace.file and drain.limit were accepted and did nothing; the embedding example showed route lookup only; the load tool lived among the tests.

Change: TraceRecorder turns ended requests and changes of upstreams into a trace, written when the node ends; the drain limit ends the wait and says so in the log and the audit trail; EmbedCore runs an operation through routing, balancing, admission and at-most-once execution; tools/LoadTool.cpp. The key 'hedge' is described as reserved.

--- a/examples/EmbedCore.cpp
+++ b/examples/EmbedCore.cpp
@@ -1,24 +1,87 @@
-// Embeds the decision core without GLib: compiles a route table and looks a request up.
+// Embeds the decision core without GLib: routes a request, picks an upstream, passes its queue, and runs an
+// operation at most once. Time is a plain value, so the program needs no clock.
 #include "Gooseberrymill.h"
 
 #include <fmt/format.h>
 
 using namespace Gooseberrymill;
 
-int main()
+namespace {
+
+Service makeService()
 {
-    auto document = std::make_shared<Configuration>();
-    Service& service = document->services.emplace_back();
-    service.name = "katalog";
+    Service service;
+    service.name = "bayaran";
+    service.upstreams = 2;
+    service.slots = 7;
+    service.floorSlots = 7;
     Route& route = service.routes.emplace_back();
-    route.name = "browse";
-    route.path = "/katalog/*";
-    route.repeatable = true;
+    route.name = "payout";
+    route.path = "/bayaran/payouts";
+    route.methods = { "POST" };
+    route.workClass = WorkClass::Critical;
+    return service;
+}
 
+std::shared_ptr<const CandidateList> makeCandidates()
+{
+    auto candidates = std::make_shared<CandidateList>();
+    for (std::string name : { "bayaran-1", "bayaran-2" }) {
+        Candidate candidate;
+        candidate.upstream = name;
+        candidate.service = "bayaran";
+        candidate.node = "node-of-" + name;
+        candidate.location = Location { "borneo", "borneo-1" };
+        candidate.slots = 7;
+        candidates->push_back(std::move(candidate));
+    }
+    return candidates;
+}
+
+} // namespace
+
+int main()
+{
+    Instant now { 1h };
+    WallTime wallNow { std::chrono::hours(500'000) };
+
+    // Version: the routes of one accepted configuration.
+    auto document = std::make_shared<Configuration>();
+    document->services.push_back(makeService());
     RouteTable table({ document });
-    auto match = table.match("GET", "/katalog/peacock?size=2");
+    auto match = table.match("POST", "/bayaran/payouts");
     if (!match)
         return 1;
-    fmt::print("service {} route {}\n", match->service->name, match->route->name);
-    return 0;
+    fmt::print("route {} of service {}\n", match->route->name, match->service->name);
+
+    // Entry: pick an upstream.
+    Balancer balancer(Location { "borneo", "borneo-1" }, 1);
+    balancer.setCandidates(makeCandidates(), now);
+    BalanceRequest wish;
+    wish.service = match->service->name;
+    wish.workClass = match->route->workClass;
+    const Candidate* candidate = balancer.choose(wish, now);
+    if (!candidate)
+        return 1;
+    fmt::print("upstream {}\n", std::string_view(candidate->upstream));
+
+    // Executor: bind the operation to this incarnation, pass the queue, run it, and answer a duplicate.
+    OperationTable operations({ 1, 1 }, {});
+    AdmissionQueue queue(*match->service);
+    OperationRequest request;
+    request.kind = OperationKind::Token;
+    request.operation = { 7, 7 };
+    request.service = match->service->name;
+    operations.issueToken(request.operation, request.service, now);
+    if (operations.begin(request, 1, now, wallNow).step != OperationStep::Run)
+        return 1;
+    AdmissionRequest admission { 1, match->route->workClass, 0, now + match->route->deadline };
+    if (queue.offer(admission, now).verdict != AdmissionVerdict::Dispatch || !operations.dispatched(request.operation))
+        return 1;
+    now += 20ms;
+    queue.finish(1, 20ms, true, now);
+    operations.finished(request.operation, { 201, {}, "paid" }, true, now);
+    OperationDecision duplicate = operations.begin(request, 2, now, wallNow);
+    fmt::print("the duplicate gets the first answer: {}\n", duplicate.answer ? duplicate.answer->body : "none");
+    return duplicate.answer ? 0 : 1;
 }
--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -52,4 +52,5 @@
 #include "core/RetryBudget.h" // bound on retries, decision on another attempt
 #include "core/RoundRobinBalancer.h" // baseline of Balancer
 #include "core/Trace.h" // traces of decision events: format and generator
+#include "core/TraceRecorder.h" // records an executor's requests as a trace
 #include "core/UpstreamCondition.h" // states, probation and ramp of an upstream
--- a/src/node/ConfigurationFile.cpp
+++ b/src/node/ConfigurationFile.cpp
@@ -112,7 +112,8 @@
         "budgetShare", policy.budgetShare, { 0.0, 0.2 }, "Retries and hedges as a share of the offered requests.");
     section.integer("maxAttempts", policy.maxAttempts, { 1, 10 }, Presence::Optional,
         "Attempts of one request, the first included.");
-    section.flag("hedge", policy.hedge, "Whether repeatable reads may get a second attempt in the same region.");
+    section.flag("hedge", policy.hedge,
+        "Reserved for second attempts of repeatable reads in the same region; entries do not make them yet.");
 }
 
 void describeCheck(auto& section, AnswerCheck& check)
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -2,6 +2,7 @@
 
 #include "core/RetryBudget.h"
 
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 namespace Gooseberrymill {
@@ -68,6 +69,8 @@
         auto firstBatch = static_cast<uint64_t>(currentWallTime().time_since_epoch().count());
         m_audit = std::make_unique<AuditTrail<StoreClient>>(*m_store, m_settings.nodeName, firstBatch);
     }
+    if (!m_settings.traceFile.empty())
+        m_recorder = std::make_unique<TraceRecorder>(m_settings.nodeName, m_settings.location, currentInstant());
     RelayIdentity identity { m_settings.fleetKey, m_settings.nodeName, m_incarnation };
     m_relay = std::make_unique<RelayClient>(
         m_task.context(), identity, m_settings.connectTimeout, m_settings.relayIdleTimeout);
@@ -372,6 +375,8 @@
 void ControlPlane::onRoutes(const std::shared_ptr<const RouteTable>& routes)
 {
     m_routes = routes;
+    if (m_recorder)
+        m_recorder->setRoutes(routes);
     m_node->setRoutes(routes);
     m_node->postExecutor([services = m_services, routes] {
         if (services->operations)
@@ -387,6 +392,8 @@
         auto supervisor = m_supervisors.find(it.upstream);
         if (supervisor != m_supervisors.end())
             supervisor->second->record(it.sample, it.at);
+        if (m_recorder)
+            m_recorder->requestEnded(it.upstream, it.sample, it.at);
     }
 }
 
@@ -396,6 +403,8 @@
         { { "upstream", upstream }, { "from", toString(from) }, { "to", toString(to) }, { "severity", severity } });
     auto it = m_supervisors.find(upstream);
     std::string service = it == m_supervisors.end() ? "" : it->second->announcement().service;
+    if (m_recorder && it != m_supervisors.end())
+        m_recorder->upstreamChanged(upstream, service, it->second->announcement().slots, to, currentInstant());
     std::string reason = fmt::format("{} -> {}, severity {:.2f}", toString(from), toString(to), severity);
     if (to == UpstreamState::Ejected)
         audit(AuditEventKind::Ejection, service, upstream, reason);
@@ -485,15 +494,36 @@
     m_membership->leave(currentInstant());
     sendGossip();
     refreshWatchRole();
-    m_node->stop([this] { m_task.post([this] { finishStop(); }); });
+    m_node->stop([this] { m_task.post([this] { finishStop("every request in flight has ended"); }); });
+    if (m_settings.drainLimit > Duration {}) {
+        m_drainTimer = m_task.every(m_settings.drainLimit, [this] {
+            finishStop("the drain limit has passed with requests in flight");
+            return false;
+        });
+    }
 }
 
-void ControlPlane::finishStop()
+void ControlPlane::writeTrace()
 {
-    audit(AuditEventKind::NodeStopped, "", m_settings.nodeName, "every request in flight has ended");
-    auto end = [this](bool isFlushed) {
+    if (!m_recorder)
+        return;
+    uint64_t dropped = m_recorder->dropped();
+    std::ofstream file(m_settings.traceFile, std::ios::binary);
+    file << toText(m_recorder->finish(currentInstant()));
+    file.close();
+    log(file ? LogLevel::Info : LogLevel::Error, "trace.written",
+        { { "file", m_settings.traceFile }, { "dropped", dropped } });
+}
+
+void ControlPlane::finishStop(const std::string& reason)
+{
+    if (std::exchange(m_isStopped, true))
+        return;
+    writeTrace();
+    audit(AuditEventKind::NodeStopped, "", m_settings.nodeName, reason);
+    auto end = [this, reason](bool isFlushed) {
         log(isFlushed ? LogLevel::Info : LogLevel::Warning, "node.stopped",
-            { { "node", m_settings.nodeName },
+            { { "node", m_settings.nodeName }, { "reason", reason },
                 { "audit_events_lost", m_audit ? m_audit->bufferedEvents() : size_t { 0 } } });
         m_stopped();
     };
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -7,6 +7,7 @@
 #include "ClaimSweeper.h"
 #include "ConfigurationDriver.h"
 #include "core/CandidateCache.h"
+#include "core/TraceRecorder.h"
 #include "CrashSuspects.h"
 #include "GossipSocket.h"
 #include "Metrics.h"
@@ -75,7 +76,8 @@
     Result<void> onAnnouncement(const Announcement&);
     void joinThroughStore();
     void publishSeeds();
-    void finishStop();
+    void finishStop(const std::string& reason);
+    void writeTrace();
 
     // [SECTION] Views
     void audit(AuditEventKind, const std::string& service, const std::string& subject, const std::string& reason,
@@ -93,6 +95,7 @@
     MetricsRegistry m_metrics;
     std::unique_ptr<AuditTrail<StoreClient>> m_audit;
     std::unique_ptr<ClaimSweeper<StoreClient>> m_sweeper;
+    std::unique_ptr<TraceRecorder> m_recorder; // null unless the settings name a file
     std::unique_ptr<Membership> m_membership;
     std::unique_ptr<GossipSocket> m_gossip;
     std::unique_ptr<ConfigurationDriver<StoreClient>> m_configuration;
@@ -109,9 +112,11 @@
     bool m_membersChanged = false; // since the watch role was chosen
     Instant m_nextRole {};
     bool m_isStopping = false;
+    bool m_isStopped = false;
     Instant m_nextSeeds {};
     std::function<void()> m_stopped;
     SourceHandle m_timer;
+    SourceHandle m_drainTimer;
 };
 
 } // namespace Gooseberrymill
--- a/tests/ShutdownProcessTests.cpp
+++ b/tests/ShutdownProcessTests.cpp
@@ -100,3 +100,44 @@
     for (size_t i : stopped)
         BOOST_TEST(fleet.node(i).process->exitCode().value_or(-1) == 0);
 }
+
+// Guards against a drain limit that is accepted and then ignored.
+BOOST_AUTO_TEST_CASE(drainLimitEndsTheWait)
+{
+    FleetShape shape;
+    shape.extraSettings = [](size_t) { return std::string("[drain]\nlimit = \"2s\"\n"); };
+    Fleet fleet(shape);
+    auto straggler = std::async(std::launch::async, [&] {
+        return fleet.call(
+            0, "GET", "/read/straggler", { { "Stand-In-Fault", "slow" }, { "Stand-In-Delay-Ms", "20000" } });
+    });
+    fleet.waitForRun("/read/straggler");
+    fleet.node(0).process->signal(SIGTERM);
+    BOOST_TEST(fleet.node(0).process->exitCode().value_or(-1) == 0);
+    auto stopped = fleet.node(0).process->waitForLog("node.stopped");
+    BOOST_TEST(stopped["reason"].get<std::string>().find("drain limit") != std::string::npos);
+    BOOST_TEST(!straggler.get().complete);
+}
+
+// Guards against a recorded trace that cannot be replayed.
+BOOST_AUTO_TEST_CASE(recordedTraceReplays)
+{
+    std::filesystem::path trace
+        = std::filesystem::temp_directory_path() / fmt::format("gooseberrymill-{}.trace", getpid());
+    FleetShape shape;
+    shape.nodes = 1;
+    shape.extraSettings = [&](size_t) { return fmt::format("[trace]\nfile = \"{}\"\n", trace.string()); };
+    {
+        Fleet fleet(shape);
+        Load load(fleet, { 0 }, 2);
+        BOOST_TEST(load.waitForMore(100));
+        checkNoFailures(load.stop());
+        fleet.node(0).process->signal(SIGTERM);
+        BOOST_TEST(fleet.node(0).process->exitCode().value_or(-1) == 0);
+    }
+    std::string output = trace.string() + ".out";
+    ChildProcess replay({ GM_BINARY_DIR "/gooseberrymill", "replay", trace.string() }, output);
+    BOOST_TEST(replay.exitCode().value_or(-1) == 0, replay.log());
+    std::filesystem::remove(trace);
+    std::filesystem::remove(output);
+}
--- a/tests/LoadStandIn.cpp
+++ b/tools/LoadTool.cpp
@@ -1,6 +1,6 @@
-// Open-loop load: LoadStandIn PORT CONNECTIONS RATE SECONDS [TARGET]
+// Open-loop load: LoadTool PORT CONNECTIONS RATE SECONDS [TARGET]
 // Without arguments it starts an upstream and a node and measures both ways in turn:
-// LoadStandIn compare CONNECTIONS RATE SECONDS [WORKERS]
+// LoadTool compare CONNECTIONS RATE SECONDS [WORKERS]
 #include "node/Log.h"
 #include "TestFleet.h"
 
@@ -101,7 +101,7 @@
 int main(int argc, char** argv)
 {
     if (argc < 5) {
-        fmt::print(stderr, "usage: LoadStandIn PORT|compare CONNECTIONS RATE SECONDS [TARGET|WORKERS]\n");
+        fmt::print(stderr, "usage: LoadTool PORT|compare CONNECTIONS RATE SECONDS [TARGET|WORKERS]\n");
         return 2;
     }
     disableGlibHelpers();
