--- a/src/node/CapacityBench.cpp
+++ b/src/node/CapacityBench.cpp
@@ -321,6 +321,7 @@
         auto table = std::make_unique<RouteTable>(documents);
         add("route table", "build", (cpuSeconds() - cpu) * 1e3, "ms");
         add("route table", "per route", perEntry(allocatedBytes() - before, routes), "B");
+        assert(routes > 0);
         std::vector<std::string> targets;
         for (size_t i = 0; i < 1000; ++i) {
             size_t route = i * 7919 % routes;
