Walk the operation table once a second

Cause: the executor's task walked all operations and sorted the unresolved ones ten times a second, and posted an empty list of samples each time; the cost grows with every operation held.

Change: claims are still looked at every 100 ms, the table once a second, and samples are posted when there are any.

Result: OperationServiceTests (4 cases) and the demo pass; the saving was not measured, and no other test was rerun.

--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -15,6 +15,7 @@
 constexpr size_t seedsPerDataCentre = 5;
 constexpr Duration seedsPeriod = 30s; // between two looks at the published seeds
 constexpr Duration tickPeriod = 50ms; // of membership and configuration
+constexpr uint32_t ticksPerTableWalk = 10; // the walk costs time for each operation held
 constexpr Duration samplePeriod = 100ms; // health samples go to the control task in batches
 constexpr Duration peerHealthAge = 5s; // older summaries of peers say nothing about now
 constexpr Duration rolePeriod = 100ms; // between two choices of the watch role; each looks at all members
@@ -177,9 +178,11 @@
     m_services->suspects = std::make_unique<CrashSuspects>(task,
         RelayIdentity { m_settings.fleetKey, m_settings.nodeName, m_incarnation }, m_settings.connectTimeout,
         crashSuspectsHooks());
-    m_services->timer = task.every(samplePeriod, [this] {
-        m_services->operations->tick();
+    m_services->timer = task.every(samplePeriod, [this, ticks = 0U]() mutable {
+        m_services->operations->tickClaims();
         flushSamples();
+        if (++ticks % ticksPerTableWalk == 0)
+            walkOperations();
         return true;
     });
 }
@@ -212,12 +215,15 @@
 
 void ControlPlane::flushSamples()
 {
-    auto unresolved = m_services->operations->unresolved();
-    auto samples = std::exchange(m_services->samples, {});
-    m_task.post([this, samples = std::move(samples), unresolved = std::move(unresolved)] {
-        onSamples(samples);
-        m_unresolved = unresolved;
-    });
+    if (m_services->samples.empty())
+        return;
+    m_task.post([this, samples = std::exchange(m_services->samples, {})] { onSamples(samples); });
+}
+
+void ControlPlane::walkOperations()
+{
+    m_services->operations->tickTable();
+    m_task.post([this, unresolved = m_services->operations->unresolved()] { m_unresolved = unresolved; });
 }
 
 // Retry budgets are per entry worker, so that no state is shared; the shares add up to the fleet's bound.
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -62,6 +62,7 @@
     void startExecutorServices(Task&);
     CrashSuspectsHooks crashSuspectsHooks();
     void flushSamples();
+    void walkOperations();
 
     // [SECTION] Events
     void tick();
--- a/src/node/OperationService.h
+++ b/src/node/OperationService.h
@@ -100,13 +100,16 @@
         return reply;
     }
 
-    void tick()
+    // Claims have deadlines of milliseconds.
+    void tickClaims()
     {
-        m_table.tick(currentInstant());
         if (m_claims)
             m_claims->tick();
     }
 
+    // Walks all operations.
+    void tickTable() { m_table.tick(currentInstant()); }
+
     std::vector<UnresolvedOperation> unresolved() const { return m_table.unresolved(currentInstant()); }
     void resolve(const Id128& operation) { m_table.resolve(operation); }
 
