--- a/src/core/Basics.h
+++ b/src/core/Basics.h
@@ -90,6 +90,8 @@
     ShuttingDown,
     Overloaded, // a limit on connections or memory
     AnswerNotRecorded, // the operation ran, but its answer is no longer held
+    UpstreamShed, // the upstream itself turned the request away and says that it did not run
+    Degraded, // the upstream failed lately; another one is to be asked first
 };
 
 std::string_view toString(Outcome);
@@ -129,9 +131,13 @@
     uint32_t queued = 0; // requests waiting at the executor
     uint32_t limit = 0; // current concurrency limit
     UpstreamState state = UpstreamState::Ready;
+    uint8_t failurePercent = 0; // probability that the upstream is in a phase of failures
 
     bool operator==(const LoadReport&) const = default;
-    template <class Archive> void serialize(Archive& archive) { archive(running, queued, limit, state); }
+    template <class Archive> void serialize(Archive& archive)
+    {
+        archive(running, queued, limit, state, failurePercent);
+    }
 };
 
 // Where something runs. Names come from settings and configuration.
--- a/src/core/Configuration.h
+++ b/src/core/Configuration.h
@@ -41,8 +41,16 @@
     bool operator==(const AnswerCheck&) const = default;
 };
 
+// A share of the requests of a route that several services serve.
+struct WeightedService {
+    std::string service;
+    uint32_t weight = 1; // relative to the sum of the route's weights
+    bool operator==(const WeightedService&) const = default;
+};
+
 struct Route {
     std::string name;
+    std::string host; // without port; empty: any host
     std::vector<std::string> methods; // empty: any method
     std::string path; // "/exact" or "/prefix/*"
     bool repeatable = false; // may be sent to an upstream more than once
@@ -51,6 +59,9 @@
     Duration deadline = 10s; // patience of the caller, unless the request brings a shorter one
     uint64_t maxBodyBytes = 1 << 20;
     AnswerCheck check;
+    std::vector<WeightedService> split; // empty: the service that lists the route serves all of it
+    bool isSplitTarget = false; // listed for the requests that another service's route splits off; never matched
+    uint32_t maxAttempts = 0; // upstreams that one request may be sent to; 0: as the service's retry policy says
     bool operator==(const Route&) const = default;
 };
 
@@ -77,6 +88,9 @@
     bool operator==(const Configuration&) const = default;
 };
 
+// Lists each route with a split at the other services of the split, so that their executors know it.
+void addSplitTargets(Configuration&);
+
 // Routes of all documents in force, compiled for lookup. Immutable; shared between tasks.
 class RouteTable {
 public:
@@ -88,23 +102,31 @@
     RouteTable() = default;
     explicit RouteTable(std::vector<std::shared_ptr<const Configuration>> documents);
 
-    // Most specific route: an exact path before a prefix, a longer prefix before a shorter one.
-    // `target` is the request path, a query string is ignored. Empty when no route matches.
-    std::optional<Match> match(std::string_view method, std::string_view target) const;
+    // Most specific route: one of the host before one of any host, an exact path before a prefix, a longer
+    // prefix before a shorter one. `target` is the request path, a query string is ignored; `host` may carry a
+    // port, which is ignored. Empty when no route matches.
+    std::optional<Match> match(std::string_view method, std::string_view target, std::string_view host = {}) const;
 
     const Service* service(std::string_view name) const; // null when unknown
+
+    // The match at the service that a draw gives, by the weights of the route's split. `draw` is any uniform number.
+    Match drawSplit(const Match&, uint64_t draw) const;
+
     std::span<const std::shared_ptr<const Configuration>> documents() const { return m_documents; }
     size_t routeCount() const { return m_routeCount; }
 
 private:
+    std::optional<Match> matchHost(std::string_view method, std::string_view path, std::string_view host) const;
+
     struct Entry {
+        std::string_view host; // empty: any
         std::string_view prefix; // of the route's path, without the trailing "*"
         bool exact = false;
         Match match;
     };
 
     std::vector<std::shared_ptr<const Configuration>> m_documents;
-    std::vector<Entry> m_entries; // sorted by prefix
+    std::vector<Entry> m_entries; // sorted by host, then prefix
     std::vector<const Service*> m_services; // sorted by name
     size_t m_routeCount = 0;
 };
--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -230,7 +230,7 @@
 }
 
 void ConfigurationSync::watchAnswered(
-    std::string_view name, const std::optional<ConfigurationRecord>& document, Instant now)
+    std::string_view name, const std::optional<ConfigurationRecord>& document, Instant now, bool hasFailed)
 {
     auto it = m_watches.find(name);
     if (it != m_watches.end())
@@ -239,8 +239,15 @@
         offer(*document);
     flushOffers();
     // An answer without news must not become a loop of calls; the next read starts the watch again.
-    if (document && m_role == WatchRole::Watcher && document->version > m_ledger.version(name))
+    if (m_role != WatchRole::Watcher)
+        return;
+    bool isNews = document && document->version > m_ledger.version(name);
+    bool endedInOrder = m_settings.keepsWatch && !document && !hasFailed;
+    if (isNews || endedInOrder)
         watch(std::string(name), now);
+    else if (m_settings.keepsWatch && !m_readSince)
+        m_nextRead = std::min(
+            m_nextRead.value_or(Instant::max()), now + m_settings.unavailableBackoff + jitter(m_settings.readJitter));
 }
 
 void ConfigurationSync::offer(const ConfigurationRecord& document)
--- a/src/core/ConfigurationLedger.h
+++ b/src/core/ConfigurationLedger.h
@@ -72,6 +72,9 @@
     Duration askInterval = 200ms; // between two questions to the same peer
     Duration gatherTime = 1s; // a restarted node waits so long for all answers before it takes the highest
     size_t maxAsks = 4; // questions to peers under way
+    // A watch that ended without a change is opened again at once, and one that failed is followed by a read after
+    // `unavailableBackoff`, so that reads can be rare. Otherwise the next read opens the watch.
+    bool keepsWatch = false;
 };
 
 struct AskPeer {
@@ -104,7 +107,9 @@
     void peerFailed(std::string_view peer, Instant now);
     void storeAnswered(std::span<const ConfigurationRecord> documents, Instant now); // of a read
     void storeFailed(Instant now); // of a read
-    void watchAnswered(std::string_view name, const std::optional<ConfigurationRecord>&, Instant now); // empty: timeout
+    // An empty record: the watch ended without a change, or failed.
+    void watchAnswered(
+        std::string_view name, const std::optional<ConfigurationRecord>&, Instant now, bool hasFailed = false);
     void accepted(const ConfigurationRecord&, Instant now); // it parsed and is in force from now on
     void rejected(const ConfigurationRecord&, Instant now); // it does not parse; the former version stays
     void tick(Instant now); // about every 50 ms
--- a/src/core/RetryBudget.cpp
+++ b/src/core/RetryBudget.cpp
@@ -21,8 +21,16 @@
         m_offered.fill(0);
         m_total = 0;
     }
+    m_tokens += m_burst / bucketCount * static_cast<double>(passed > 0 ? passed : 0);
     m_second = second;
-    m_tokens = std::min(m_tokens, m_share * static_cast<double>(m_total));
+    m_tokens = std::min(m_tokens, m_burst + m_share * static_cast<double>(m_total));
+}
+
+void RetryBudget::setBurst(double burst)
+{
+    if (m_burst == 0)
+        m_tokens += burst;
+    m_burst = burst;
 }
 
 void RetryBudget::offered(Instant now)
@@ -30,7 +38,7 @@
     advance(now);
     ++m_offered[static_cast<size_t>(m_second) % bucketCount];
     ++m_total;
-    m_tokens = std::min(m_tokens + m_share, m_share * static_cast<double>(m_total));
+    m_tokens = std::min(m_tokens + m_share, m_burst + m_share * static_cast<double>(m_total));
 }
 
 bool RetryBudget::take(Instant now)
--- a/src/core/RetryBudget.h
+++ b/src/core/RetryBudget.h
@@ -12,7 +12,7 @@
 //-----------------------------------------------------------------------------
 
 // Token bucket that gains `share` for each offered request and holds at most `share` of the requests
-// offered in the last 10 s. There is no constant part, so the bound also holds at low rates.
+// offered in the last 10 s. Without a burst there is no constant part, so the bound also holds at low rates.
 class RetryBudget {
 public:
     explicit RetryBudget(double share)
@@ -23,6 +23,8 @@
     void offered(Instant now); // a caller's request arrived
     bool take(Instant now); // true: one more attempt may be made, and it was counted
     double tokens(Instant now);
+    // Tokens held beyond the share at most, gained over 10 s. The first call fills them.
+    void setBurst(double burst);
     void setShare(double share) { m_share = share; } // applies to what is offered and held from now on
 
 private:
@@ -33,6 +35,7 @@
 
     double m_share;
     double m_tokens = 0;
+    double m_burst = 0;
     std::array<uint32_t, bucketCount> m_offered {}; // requests per second, a ring
     uint64_t m_total = 0; // sum of the ring
     int64_t m_second = 0;
--- a/src/node/AdminServer.cpp
+++ b/src/node/AdminServer.cpp
@@ -1,5 +1,6 @@
 #include "AdminServer.h"
 
+#include "Log.h"
 #include "TomlSections.h"
 
 #include <algorithm>
@@ -159,18 +160,41 @@
         answerError(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, fmt::format("at most {} bytes", maxBodyBytes));
         return;
     }
+    BytesHandle bytes(soup_message_body_flatten(soup_server_message_get_request_body(message)));
+    gsize size = 0;
+    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes.get(), &size));
+    std::string_view body(data ? data : "", size);
+    if (server->servePlatform(message, method, path, body))
+        return;
     if (method == "GET" || method == "HEAD") {
         server->serveGet(message, path);
     } else if (method == "POST") {
-        BytesHandle bytes(soup_message_body_flatten(soup_server_message_get_request_body(message)));
-        gsize size = 0;
-        const auto* data = static_cast<const char*>(g_bytes_get_data(bytes.get(), &size));
-        server->servePost(message, path, std::string_view(data ? data : "", size));
+        server->servePost(message, path, body);
     } else {
         answerError(message, SOUP_STATUS_METHOD_NOT_ALLOWED, "GET or POST");
     }
 }
 
+bool AdminServer::servePlatform(
+    SoupServerMessage* message, std::string_view method, std::string_view path, std::string_view body) const
+{
+    auto call = m_callbacks.decode ? m_callbacks.decode(method, path, body) : std::nullopt;
+    if (!call)
+        return false;
+    if (!*call) {
+        log(LogLevel::Warning, "platform.call", call->error());
+        answerResult(message, call->error());
+    } else if (std::holds_alternative<ReadinessQuery>(call->value())) {
+        bool isHealthy = m_callbacks.isHealthy();
+        answer(message, isHealthy ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain", "");
+    } else if (const auto* announcement = std::get_if<Announcement>(&call->value())) {
+        answerResult(message, m_callbacks.announce(*announcement));
+    } else {
+        answerResult(message, m_callbacks.depart(std::get<Departure>(call->value())));
+    }
+    return true;
+}
+
 void AdminServer::serveGet(SoupServerMessage* message, std::string_view path) const
 {
     if (path == "/healthz") {
--- a/src/node/AdminServer.h
+++ b/src/node/AdminServer.h
@@ -12,6 +12,7 @@
 #include "Settings.h"
 
 #include <libsoup/soup.h>
+#include <variant>
 
 namespace Gooseberrymill {
 
@@ -23,11 +24,24 @@
     uint32_t slots = 1;
     UpstreamState state = UpstreamState::Ready; // cold, ready, draining or gone
     double load = 0; // requests that it runs, by its own count
+    std::string instance; // identity of the process, sent with each request to it; empty: none
+    uint64_t bornAt = 0; // start of the process, in milliseconds of its own clock; 0: not told
+    uint64_t sequence = 0; // raised with each announcement of a process; 0: not told
     bool operator==(const Announcement&) const = default;
 };
 
 Result<Announcement> parseAnnouncement(std::string_view json);
 
+// The process leaves. It serves for a while yet, but is to get no new request.
+struct Departure {
+    std::string instance;
+};
+
+struct ReadinessQuery { };
+
+// A call of the platform on a local address.
+using LocalCall = std::variant<Announcement, Departure, ReadinessQuery>;
+
 // Who resolved an operation, and why.
 struct Resolution {
     std::string operation; // id as the list shows it
@@ -43,6 +57,11 @@
     std::function<Result<void>(const Announcement&)> announce;
     std::function<std::string()> operations; // JSON
     std::function<Result<void>(const Resolution&)> resolve; // NotFound when no such operation is unresolved
+    // A call in the platform's form; empty optional: none of its calls. Both may be empty.
+    std::function<std::optional<Result<LocalCall>>(
+        std::string_view method, std::string_view path, std::string_view body)>
+        decode;
+    std::function<Result<void>(const Departure&)> depart;
 };
 
 // Serves in the thread-default main context of the task that makes it.
@@ -61,6 +80,7 @@
     static void handleHead(SoupServer*, SoupServerMessage*, const char* path, GHashTable*, gpointer self);
     static void handleChunk(SoupServerMessage*, GBytes*, gpointer);
     static void handle(SoupServer*, SoupServerMessage*, const char* path, GHashTable*, gpointer self);
+    bool servePlatform(SoupServerMessage*, std::string_view method, std::string_view path, std::string_view body) const;
     void serveGet(SoupServerMessage*, std::string_view path) const;
     void servePost(SoupServerMessage*, std::string_view path, std::string_view body) const;
     void serveResolve(SoupServerMessage*, std::string_view operation, std::string_view body) const;
--- a/src/node/AttemptPlan.h
+++ b/src/node/AttemptPlan.h
@@ -7,10 +7,12 @@
 
 class AttemptPlan {
 public:
-    // `allowRetry` takes one retry from the budget; empty: no budget.
-    AttemptPlan(bool repeatable, uint32_t maxAttempts, std::function<bool()> allowRetry)
+    // `allowRetry` takes one retry from the budget; empty: no budget. `maxTurnBacks`: executors that may give the
+    // request back before an upstream has seen it, beyond `maxAttempts`.
+    AttemptPlan(bool repeatable, uint32_t maxAttempts, std::function<bool()> allowRetry, uint32_t maxTurnBacks = 0)
         : m_repeatable(repeatable)
         , m_maxAttempts(maxAttempts)
+        , m_maxTurnBacks(maxTurnBacks)
         , m_allowRetry(std::move(allowRetry))
     {
     }
@@ -24,11 +26,18 @@
     // An attempt ended without a response.
     // `bodyKept`: everything of the body that was sent can be sent again.
     // `dispatched`: the attempt may have reached an upstream.
-    bool mayRetry(bool dispatched, RefusalReason reason, bool bodyKept) const
+    // A request that no upstream has seen costs no retry: the budget bounds the load on upstreams.
+    bool mayRetry(bool dispatched, RefusalReason reason, bool bodyKept)
     {
+        bool reached = dispatched || reason == RefusalReason::UpstreamShed;
+        m_reached += reached ? 1 : 0;
         bool harmless = !dispatched && isElsewhereUseful(reason);
         bool repeat = dispatched && m_repeatable && isUpstreamFault(reason);
-        return (harmless || repeat) && bodyKept && m_attempts < m_maxAttempts && (!m_allowRetry || m_allowRetry());
+        if ((!harmless && !repeat) || !bodyKept || m_attempts >= m_maxAttempts + m_maxTurnBacks)
+            return false;
+        if (m_reached >= m_maxAttempts)
+            return false;
+        return !reached || !m_allowRetry || m_allowRetry();
     }
 
     std::span<const std::string> tried() const { return m_tried; }
@@ -44,6 +53,9 @@
         case RefusalReason::Ejected:
         case RefusalReason::UpstreamUnreachable:
         case RefusalReason::RelayFailed:
+        case RefusalReason::UpstreamShed:
+        case RefusalReason::Degraded:
+        case RefusalReason::DeadlineUnreachable:
             return true;
         default:
             return false;
@@ -57,6 +69,7 @@
         case RefusalReason::UpstreamTruncated:
         case RefusalReason::UpstreamInvalid:
         case RefusalReason::RelayFailed:
+        case RefusalReason::Degraded:
             return true;
         default:
             return false;
@@ -65,6 +78,8 @@
 
     bool m_repeatable;
     uint32_t m_maxAttempts;
+    uint32_t m_maxTurnBacks;
+    uint32_t m_reached = 0; // attempts that an upstream may have seen
     std::function<bool()> m_allowRetry;
     uint32_t m_attempts = 0;
     std::vector<std::string> m_tried;
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -17,17 +17,27 @@
     std::function<void(uint64_t digest)> digestChanged;
     std::function<std::string(std::string_view node)> relayAddress; // empty when the node is unknown
     std::function<void(const ConfigurationRecord&)> accepted;
+    std::function<void(bool isReachable)> store; // a call to the store ended; may be empty
     std::function<void(const ConfigurationRecord&, const std::string& reason)> refused;
 };
 
+// Where documents lie in the store, and their form.
+struct ConfigurationForm {
+    std::string_view kind = configurationKind;
+    Result<ConfigurationObject> (*parseObject)(std::string_view json) = &parseConfigurationObject;
+    FileResult<Configuration> (*parseText)(std::string_view text, std::string file) = &parseConfiguration;
+};
+
 template <ObjectStore Store> class ConfigurationDriver {
 public:
     // `store` may be null; both must outlive this object.
-    ConfigurationDriver(Store* store, RelayClient& client, uint64_t seed, ConfigurationHooks hooks, Instant now)
+    ConfigurationDriver(Store* store, RelayClient& client, uint64_t seed, ConfigurationHooks hooks, Instant now,
+        const ConfigurationSyncSettings& settings = {}, const ConfigurationForm& form = {})
         : m_store(store)
         , m_client(client)
         , m_hooks(std::move(hooks))
-        , m_sync(ConfigurationSyncSettings {}, seed, now)
+        , m_form(form)
+        , m_sync(settings, seed, now)
         , m_alive(std::make_shared<bool>(true))
     {
     }
@@ -93,8 +103,9 @@
     {
         if (!m_store)
             return m_sync.storeFailed(currentInstant());
-        m_store->list(configurationKind, guarded([this](const Result<std::vector<StoredObject>>& result) {
+        m_store->list(m_form.kind, guarded([this](const Result<std::vector<StoredObject>>& result) {
             run([&](Instant now) {
+                tellStore(static_cast<bool>(result));
                 if (!result)
                     return m_sync.storeFailed(now);
                 std::vector<ConfigurationRecord> documents;
@@ -111,10 +122,12 @@
     {
         if (!m_store)
             return;
-        m_store->watch(configurationKind, watch.name, watch.version, watch.patience,
+        m_store->watch(m_form.kind, watch.name, watch.version, watch.patience,
             guarded([this, name = watch.name](const Result<StoredObject>& result) {
                 run([&](Instant now) {
-                    m_sync.watchAnswered(name, result ? toRecord(result.value()) : std::nullopt, now);
+                    bool hasFailed = !result && result.error().code != ErrorCode::Timeout;
+                    m_sync.watchAnswered(name, result ? toRecord(result.value()) : std::nullopt, now, hasFailed);
+                    tellStore(!hasFailed);
                 });
             }));
     }
@@ -122,7 +135,7 @@
     void carryOut(const ApplyDocument& apply)
     {
         const ConfigurationRecord& record = apply.document;
-        auto parsed = parseConfiguration(record.text, record.name);
+        auto parsed = m_form.parseText(record.text, record.name);
         if (!parsed.value) {
             std::string reason = parsed.errors.empty() ? "does not parse" : toString(parsed.errors.front());
             log(LogLevel::Error, "configuration.refused",
@@ -143,6 +156,12 @@
         m_hooks.accepted(record);
     }
 
+    void tellStore(bool isReachable)
+    {
+        if (m_hooks.store)
+            m_hooks.store(isReachable);
+    }
+
     void carryOut(const AnnounceDigest& announce) { m_hooks.digestChanged(announce.digest); }
 
     void publish()
@@ -153,9 +172,9 @@
         m_hooks.inForce(std::make_shared<const RouteTable>(std::move(documents)));
     }
 
-    static std::optional<ConfigurationRecord> toRecord(const StoredObject& object)
+    std::optional<ConfigurationRecord> toRecord(const StoredObject& object) const
     {
-        auto parsed = parseConfigurationObject(object.value);
+        auto parsed = m_form.parseObject(object.value);
         if (!parsed) {
             log(LogLevel::Error, "configuration.object", parsed.error());
             return std::nullopt;
@@ -167,6 +186,7 @@
     Store* m_store;
     RelayClient& m_client;
     ConfigurationHooks m_hooks;
+    ConfigurationForm m_form;
     ConfigurationSync m_sync;
     std::map<std::string, std::shared_ptr<const Configuration>> m_documents; // in force, by name
     std::shared_ptr<bool> m_alive;
--- a/src/node/ConfigurationFile.cpp
+++ b/src/node/ConfigurationFile.cpp
@@ -53,6 +53,15 @@
 const TextRule methodRule { "an HTTP method of 1 to 16 upper-case letters", &isMethod };
 const TextRule pathRule { "\"/exact\" or \"/prefix/*\", printable ASCII without spaces, at most 512 characters",
     &isPath };
+bool isHostName(std::string_view text)
+{
+    constexpr size_t maxHostLength = 253;
+    return text.size() <= maxHostLength && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.';
+    });
+}
+
+const TextRule hostRule { "a host name in lower case without a port, or \"\" for any", &isHostName };
 const TextRule headerRule { "a header name of at most 64 characters, or \"\" for none", &isHeaderName };
 const TextRule contentTypeRule { "a media type such as \"application/json\", or \"\" for any", &isContentType };
 
@@ -66,6 +75,7 @@
 
 constexpr size_t maxServices = 4096;
 constexpr size_t maxRoutes = 4096; // of one service
+constexpr size_t maxSplit = 16; // services of one route
 constexpr size_t maxListElements = 32;
 constexpr uint64_t maxUpstreams = 100'000;
 constexpr uint64_t maxSlots = 10'000;
@@ -131,6 +141,7 @@
 {
     section.text("name", route.name, nameRule, Presence::Required, "Name of the route, unique in its service.");
     section.text("path", route.path, pathRule, Presence::Required, "Path, or prefix ending in \"/*\".");
+    section.text("host", route.host, hostRule, Presence::Optional, "Host name that callers ask for; empty: any.");
     section.textList("methods", route.methods, methodRule, maxListElements, "HTTP methods; empty: any.");
     section.flag("repeatable", route.repeatable, "Whether a request may reach an upstream more than once.");
     section.flag("internal", route.internal, "Whether only callers that name an internal service may use the route.");
@@ -140,7 +151,14 @@
         "How long the caller waits, unless the request brings a shorter deadline.");
     section.size("maxBodyBytes", route.maxBodyBytes, { 0, 1ULL << 30 },
         "Largest request body; at most 1MiB on a route that is not repeatable.");
+    section.integer("maxAttempts", route.maxAttempts, { 0, 10 }, Presence::Optional,
+        "Upstreams that one request may be sent to; 0: as retry.maxAttempts of the service says.");
     section.section("check", [&](auto& check) { describeCheck(check, route.check); });
+    section.sections("split", route.split, maxSplit, [](auto& split, WeightedService& item) {
+        split.text("service", item.service, nameRule, Presence::Required, "Service that gets a share of the requests.");
+        split.integer("weight", item.weight, { 1, 1'000'000 }, Presence::Required,
+            "Share of the requests, relative to the sum of the weights.");
+    });
 }
 
 void describeService(auto& section, Service& service)
@@ -188,6 +206,8 @@
             m_context.reportAt(1, "service", "no service", "at least one table [[service]]");
         for (size_t i = 0; i < configuration.services.size(); ++i)
             checkService(configuration.services[i], fmt::format("service[{}]", i));
+        for (size_t i = 0; i < configuration.services.size(); ++i)
+            checkSplits(configuration.services[i], fmt::format("service[{}]", i));
     }
 
 private:
@@ -225,6 +245,19 @@
         }
     }
 
+    // Runs after all services are known.
+    void checkSplits(const Service& service, const std::string& path)
+    {
+        for (size_t i = 0; i < service.routes.size(); ++i) {
+            for (size_t j = 0; j < service.routes[i].split.size(); ++j) {
+                const std::string& name = service.routes[i].split[j].service;
+                std::string key = fmt::format("{}.route[{}].split[{}]", path, i, j);
+                if (isUsable(key, { "service" }) && !m_serviceNames.contains(name))
+                    m_context.report(key + ".service", fmt::format("\"{}\"", name), "the name of a declared service");
+            }
+        }
+    }
+
     void checkCapacity(const Service& service, const std::string& path)
     {
         uint64_t capacity = static_cast<uint64_t>(service.upstreams) * service.slots;
@@ -268,7 +301,7 @@
     // The route table takes the first route with the path and the method, so a later one is never used.
     void checkReachable(const Route& route, const std::string& path)
     {
-        std::vector<MethodOwner>& owners = m_methodOwners[route.path];
+        std::vector<MethodOwner>& owners = m_methodOwners[route.host + route.path];
         std::vector<std::string> methods = route.methods;
         if (methods.empty())
             methods.emplace_back();
@@ -289,7 +322,7 @@
 
     ReadContext& m_context;
     std::set<std::string> m_serviceNames;
-    std::map<std::string, std::vector<MethodOwner>> m_methodOwners; // by path
+    std::map<std::string, std::vector<MethodOwner>> m_methodOwners; // by host and path
 };
 
 std::vector<KeyEntry> listKeys(Configuration& configuration)
@@ -316,12 +349,15 @@
     std::vector<FileError> errors = context.takeErrors();
     if (!errors.empty())
         return { std::nullopt, std::move(errors) };
+    addSplitTargets(configuration);
     return { std::move(configuration), {} };
 }
 
 std::string printConfiguration(const Configuration& configuration)
 {
     Configuration copy = configuration;
+    for (Service& service : copy.services)
+        std::erase_if(service.routes, [](const Route& route) { return route.isSplitTarget; });
     return printToml(listKeys(copy));
 }
 
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -12,6 +12,7 @@
 #include "GossipSocket.h"
 #include "Metrics.h"
 #include "Node.h"
+#include "NodeControl.h"
 #include "OperationService.h"
 #include "StoreClient.h"
 #include "UpstreamSupervisor.h"
@@ -20,16 +21,14 @@
 
 namespace Gooseberrymill {
 
-class ControlPlane {
+class ControlPlane final : public NodeControl {
 public:
     ControlPlane(Task&, Settings);
-    ~ControlPlane();
+    ~ControlPlane() override;
 
-    // Binds all sockets and starts the tasks.
-    std::optional<Error> start();
-
-    // Graceful end: leaves the membership, finishes every request, flushes the audit trail, then calls `done`.
-    void stop(std::function<void()> done);
+    std::optional<Error> start() override;
+    // Leaves the membership, finishes every request, flushes the audit trail, then calls `done`.
+    void stop(std::function<void()> done) override;
 
     uint16_t adminPort() const { return m_adminPort; }
 
--- /dev/null
+++ b/src/node/DirectoryControl.cpp
@@ -0,0 +1,686 @@
+#include "DirectoryControl.h"
+
+#include "core/RetryBudget.h"
+#include "Log.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace Gooseberrymill {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr Duration tickPeriod = 100ms;
+constexpr Duration serviceTickPeriod = 1s; // of the operation table and crash suspects on the executor's task
+constexpr Duration noticePeriod = 1s; // of a watcher to its region
+constexpr Duration remoteNoticePeriod = 4s; // of a watcher to one node of each other region
+constexpr Duration isolationTime = 3s; // without a word of a peer, a node asks some by itself
+constexpr Duration registrationWait = 600ms; // from the start: nodes that start together are in the first list
+constexpr Duration storeRetryPeriod = 1s;
+constexpr Duration standBackTime = 5s; // of a watcher that the store turned away while others watch
+constexpr Duration aloneTime = 2500ms; // without configuration from peers, a node reads the store by itself
+constexpr Duration peerTimeout = 1s; // of a notice
+constexpr Duration lostTime = 8s; // a node that answered no notice for so long is taken for gone
+constexpr uint32_t lostNotices = 5;
+constexpr size_t askedWhenIsolated = 2;
+constexpr std::string_view recordKindPrefix = "nodes-"; // one kind of object for each region
+
+ConfigurationSyncSettings syncSettings()
+{
+    ConfigurationSyncSettings settings;
+    settings.keepsWatch = true;
+    settings.readPeriod = 30s;
+    settings.readTimeout = 1500ms;
+    settings.takeOverJitter = 50ms;
+    settings.watchPatience = 4s; // a store that fell silent is noticed after it
+    settings.unavailableBackoff = 800ms;
+    settings.gatherTime = 300ms;
+    return settings;
+}
+
+std::string toJson(const NodeRecord& record)
+{
+    Json json { { "incarnation", toString(record.incarnation) }, { "startedAt", record.startedAt },
+        { "relay", record.relayAddress }, { "region", record.location.region },
+        { "dataCentre", record.location.dataCentre } };
+    return json.dump();
+}
+
+std::optional<NodeRecord> recordFrom(const StoredObject& object)
+{
+    Json json = Json::parse(object.value, nullptr, false);
+    auto text = [&](const char* name) {
+        auto it = json.is_object() ? json.find(name) : json.end();
+        return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
+    };
+    auto incarnation = parseId128(text("incarnation"));
+    if (!incarnation || text("relay").empty() || !json.contains("startedAt") || !json["startedAt"].is_number_unsigned())
+        return std::nullopt;
+    NodeRecord record;
+    record.name = object.name;
+    record.incarnation = *incarnation;
+    record.startedAt = json["startedAt"].get<uint64_t>();
+    record.relayAddress = text("relay");
+    record.location = { text("region"), text("dataCentre") };
+    return record;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Construction
+//-----------------------------------------------------------------------------
+
+DirectoryControl::DirectoryControl(Task& task, Settings settings, const PlatformAdapter* adapter)
+    : m_task(task)
+    , m_settings(std::move(settings))
+    , m_adapter(adapter)
+    , m_random(randomId().low)
+    , m_incarnation(randomId())
+    , m_startedAt(currentInstant())
+    , m_services(std::make_shared<ExecutorServices>())
+    , m_election(currentInstant())
+    , m_upstream(m_settings.upstreamService, m_settings.upstreamAddress)
+{
+}
+
+DirectoryControl::~DirectoryControl()
+{
+    m_timer.reset();
+    m_drainTimer.reset();
+    m_servers.clear();
+    m_node.reset();
+}
+
+std::optional<Error> DirectoryControl::start()
+{
+    const StoreDialect& dialect = m_adapter ? m_adapter->store : nativeStoreDialect();
+    m_store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout, dialect);
+    RelayIdentity identity { m_settings.fleetKey, m_settings.nodeName, m_incarnation };
+    m_relay = std::make_unique<RelayClient>(
+        m_task.context(), identity, m_settings.connectTimeout, m_settings.relayIdleTimeout);
+    m_node = std::make_unique<Node>(
+        m_settings, executorHooks(), [this] { return entryHooks(); }, m_incarnation);
+    if (auto error = m_node->start())
+        return error;
+    m_directory = std::make_unique<NodeDirectory>(ownRecord());
+    m_configuration
+        = std::make_unique<ConfigurationDriver<StoreClient>>(m_store.get(), *m_relay, m_random(), configurationHooks(),
+            currentInstant(), syncSettings(), m_adapter ? m_adapter->configuration : ConfigurationForm {});
+    if (auto error = startServers())
+        return error;
+    registerNode();
+    m_timer = m_task.every(tickPeriod, [this] {
+        tick();
+        return true;
+    });
+    log(LogLevel::Info, "node.started",
+        { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
+            { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() },
+            { "service", m_settings.upstreamService } });
+    return std::nullopt;
+}
+
+NodeRecord DirectoryControl::ownRecord() const
+{
+    NodeRecord record;
+    record.name = m_settings.nodeName;
+    record.incarnation = m_incarnation;
+    record.startedAt = static_cast<uint64_t>(currentWallTime().time_since_epoch().count());
+    record.relayAddress = m_node->relayAddress();
+    record.location = m_settings.location;
+    return record;
+}
+
+std::optional<Error> DirectoryControl::startServers()
+{
+    std::vector<ListenAddress> addresses { m_settings.adminListen };
+    for (const auto& address : { m_settings.readinessListen, m_settings.metricsListen }) {
+        if (address)
+            addresses.push_back(*address);
+    }
+    for (const ListenAddress& address : addresses) {
+        auto server = std::make_unique<AdminServer>(adminCallbacks());
+        if (auto port = server->listen(address); !port)
+            return port.error();
+        m_servers.push_back(std::move(server));
+    }
+    return std::nullopt;
+}
+
+ExecutorHooks DirectoryControl::executorHooks()
+{
+    ExecutorHooks hooks;
+    if (m_adapter)
+        hooks.headers = m_adapter->headers;
+    hooks.turnsBack = true;
+    hooks.started = [this](Task& task) { startExecutorServices(task); };
+    hooks.stopped = [services = m_services] {
+        services->timer.reset();
+        services->suspects.reset();
+        services->operations.reset();
+    };
+    OperationGate& gate = hooks.operations;
+    gate.begin = [services = m_services](const RequestHead& head, std::string_view body, auto decide) {
+        services->operations->begin(head, body, std::move(decide));
+    };
+    gate.leave = [services = m_services](const RequestHead& head) { services->operations->leave(head); };
+    gate.settle
+        = [services = m_services](const RequestHead& head, const std::shared_ptr<const StoredResponse>& response,
+              bool delivered) { services->operations->settle(head, response, delivered); };
+    gate.finish = [services = m_services](
+                      const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
+    hooks.token = [services = m_services](TokenQuery&& query, const std::function<void(TokenReply)>& reply) {
+        reply(services->operations->issueToken(query));
+    };
+    hooks.crashes = crashGate([services = m_services] { return services->suspects.get(); });
+    hooks.configuration = [this](ConfigurationQuery&& query, std::function<void(ConfigurationReply)> reply) {
+        m_task.post([this, query = std::move(query), reply = std::move(reply)] {
+            ConfigurationReply answer = m_configuration ? m_configuration->answer(query) : ConfigurationReply {};
+            m_node->postExecutor([answer = std::move(answer), reply] { reply(answer); });
+        });
+    };
+    hooks.directory = [this](DirectoryNotice&& notice, std::function<void(DirectoryReply)> reply) {
+        m_task.post([this, notice = std::move(notice), reply = std::move(reply)] {
+            DirectoryReply answer = m_directory ? onNotice(notice) : DirectoryReply {};
+            m_node->postExecutor([answer = std::move(answer), reply] { reply(answer); });
+        });
+    };
+    return hooks;
+}
+
+void DirectoryControl::startExecutorServices(Task& task)
+{
+    m_services->operations
+        = std::make_unique<OperationService<StoreClient>>(m_incarnation, OperationLimits {}, nullptr);
+    CrashSuspectsHooks hooks;
+    hooks.crashed = [](const std::string& upstream) {
+        log(LogLevel::Warning, "upstream.crashed", { { "upstream", upstream } });
+    };
+    hooks.refusing = [](const ClosedRequest& request, uint32_t crashes) {
+        log(LogLevel::Warning, "request.query_of_death",
+            { { "service", request.service }, { "target", request.target }, { "crashes", crashes } });
+    };
+    hooks.refused = [] {};
+    m_services->suspects = std::make_unique<CrashSuspects>(task,
+        RelayIdentity { m_settings.fleetKey, m_settings.nodeName, m_incarnation }, m_settings.connectTimeout, hooks);
+    m_services->timer = task.every(serviceTickPeriod, [services = m_services.get()] {
+        services->operations->tickTable();
+        return true;
+    });
+}
+
+// The bound holds for the whole fleet in any window, so each node takes its part of half of it: what it saved in one
+// window and what it gains in the next may be spent together.
+EntryHooks DirectoryControl::entryHooks()
+{
+    constexpr double half = 0.5;
+    auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
+    auto of = [this, budgets](const Service& service) -> RetryBudget& {
+        double share = m_settings.retryShare > 0 ? m_settings.retryShare : service.retry.budgetShare;
+        RetryBudget& budget = budgets->try_emplace(service.name, share * half).first->second;
+        budget.setShare(share * half);
+        budget.setBurst(half * m_settings.retrySlack / std::max(1U, m_nodeCount.load(std::memory_order_relaxed)));
+        return budget;
+    };
+    EntryHooks hooks;
+    if (m_adapter)
+        hooks.headers = m_adapter->headers;
+    hooks.offered = [of](const Service& service) { of(service).offered(currentInstant()); };
+    hooks.allowRetry = [of](const Service& service) { return of(service).take(currentInstant()); };
+    hooks.configurationDigest = [this] { return m_digest.load(std::memory_order_relaxed); };
+    return hooks;
+}
+
+ConfigurationHooks DirectoryControl::configurationHooks()
+{
+    ConfigurationHooks hooks;
+    hooks.inForce = [this](const std::shared_ptr<const RouteTable>& routes) { onRoutes(routes); };
+    hooks.digestChanged = [this](uint64_t digest) {
+        m_digest = digest;
+        tellRegion({});
+        if (m_role == WatchRole::Watcher)
+            m_nextRemoteNotice = {};
+    };
+    hooks.relayAddress = [this](std::string_view node) {
+        const NodeRecord* record = m_directory->find(node);
+        return record ? record->relayAddress : std::string();
+    };
+    hooks.accepted = [](const ConfigurationRecord&) {};
+    hooks.refused = [](const ConfigurationRecord&, const std::string&) {};
+    hooks.store = [this](bool isReachable) {
+        if (m_isStoreReachable != isReachable)
+            log(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "store.regained" : "store.lost");
+        m_isStoreReachable = isReachable;
+        if (!isReachable)
+            m_storeRetryAt = currentInstant() + standBackTime;
+    };
+    return hooks;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Store
+//-----------------------------------------------------------------------------
+
+std::string DirectoryControl::kindOf(std::string_view region) const
+{
+    return std::string(recordKindPrefix) + std::string(region);
+}
+
+// A lost answer is settled by the conflict of the next try.
+void DirectoryControl::registerNode()
+{
+    m_isRegistering = true;
+    m_nextStoreTry = currentInstant() + storeRetryPeriod;
+    m_store->put(kindOf(m_settings.location.region), m_settings.nodeName, toJson(m_directory->self()), 0,
+        [this](const Result<uint64_t>& result) {
+            m_isRegistering = false;
+            if (result)
+                m_recordVersion = result.value();
+            else if (result.error().code == ErrorCode::Conflict)
+                replaceRecord();
+            else
+                log(LogLevel::Warning, "directory.register", result.error());
+        });
+}
+
+// An earlier process of this node left its record.
+void DirectoryControl::replaceRecord()
+{
+    m_isRegistering = true;
+    std::string kind = kindOf(m_settings.location.region);
+    m_store->get(kind, m_settings.nodeName, [this, kind](const Result<StoredObject>& held) {
+        m_isRegistering = false;
+        if (!held)
+            return log(LogLevel::Warning, "directory.register", held.error());
+        if (auto record = recordFrom(held.value())) {
+            if (record->incarnation == m_incarnation) {
+                m_recordVersion = held.value().version;
+                return;
+            }
+            m_directory->merge(*record, currentInstant());
+        }
+        m_isRegistering = true;
+        m_store->put(kind, m_settings.nodeName, toJson(m_directory->self()), held.value().version,
+            [this](const Result<uint64_t>& result) {
+                m_isRegistering = false;
+                if (result)
+                    m_recordVersion = result.value();
+                else
+                    log(LogLevel::Warning, "directory.register", result.error());
+            });
+    });
+}
+
+void DirectoryControl::readRegion(const std::string& region)
+{
+    bool isOwn = region == m_settings.location.region;
+    m_store->list(kindOf(region), [this, region, isOwn](const Result<std::vector<StoredObject>>& result) {
+        if (!result) {
+            log(LogLevel::Warning, "directory.read", result.error(), { { "region", region } });
+            (isOwn ? m_hasRegion : m_hasOtherRegions) = false;
+            return;
+        }
+        std::vector<NodeRecord> records;
+        for (const StoredObject& object : result.value()) {
+            if (auto record = recordFrom(object))
+                records.push_back(std::move(*record));
+        }
+        if (m_directory->mergeAll(records, currentInstant()))
+            directoryChanged();
+        if (isOwn)
+            tellRegion({ m_directory->self() });
+    });
+}
+
+void DirectoryControl::readOtherRegions()
+{
+    m_hasOtherRegions = true;
+    std::set<std::string> regions;
+    for (const Location& it : m_settings.dataCentres)
+        regions.insert(it.region);
+    regions.erase(m_settings.location.region);
+    for (const std::string& region : regions)
+        readRegion(region);
+}
+
+void DirectoryControl::removeRecord(const std::string& region, const std::string& node)
+{
+    std::string kind = kindOf(region);
+    m_store->get(kind, node, [this, kind, node](const Result<StoredObject>& held) {
+        if (!held)
+            return;
+        const NodeRecord* known = m_directory->find(node);
+        auto record = recordFrom(held.value());
+        bool isOther = known && record && record->incarnation != known->incarnation;
+        if (isOther)
+            return; // a new process has registered since
+        m_store->remove(kind, node, held.value().version, [](const Result<uint64_t>& result) {
+            if (!result)
+                log(LogLevel::Warning, "directory.remove", result.error());
+        });
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Peers
+//-----------------------------------------------------------------------------
+
+void DirectoryControl::tell(const NodeRecord& peer, std::vector<NodeRecord> records)
+{
+    DirectoryNotice notice { m_settings.nodeName, m_role == WatchRole::Watcher && m_isStoreReachable,
+        m_directory->digest(), m_digest, std::move(records) };
+    m_relay->query(
+        peer.relayAddress, std::move(notice),
+        [this, name = peer.name](const Result<RelayMessage>& result) { onReply(name, result); }, peerTimeout);
+}
+
+void DirectoryControl::tellRegion(const std::vector<NodeRecord>& records)
+{
+    std::vector<NodeRecord> peers;
+    m_directory->forEachLive([&](const NodeRecord& it) {
+        if (it.location.region == m_settings.location.region && it.name != m_settings.nodeName)
+            peers.push_back(it);
+    });
+    for (const NodeRecord& peer : peers)
+        tell(peer, records);
+}
+
+void DirectoryControl::tellOtherRegions()
+{
+    std::map<std::string, std::vector<const NodeRecord*>> regions;
+    m_directory->forEachLive([&](const NodeRecord& it) {
+        if (it.location.region != m_settings.location.region)
+            regions[it.location.region].push_back(&it);
+    });
+    std::vector<NodeRecord> chosen;
+    for (const auto& [region, nodes] : regions)
+        chosen.push_back(*nodes[m_random() % nodes.size()]);
+    for (const NodeRecord& peer : chosen)
+        tell(peer, {});
+}
+
+void DirectoryControl::onReply(const std::string& peer, const Result<RelayMessage>& result)
+{
+    const auto* reply = result ? std::get_if<DirectoryReply>(&result.value()) : nullptr;
+    if (!reply)
+        return noteSilence(peer);
+    Instant now = currentInstant();
+    m_lastHeard = now;
+    m_silences.erase(peer);
+    m_configuration->digestSeen(peer, reply->configurationDigest);
+    if (m_directory->mergeAll(reply->records, now))
+        directoryChanged();
+    // The peer lacks something that this node knows.
+    bool isBehind = !reply->records.empty() && reply->digest != m_directory->digest();
+    if (const NodeRecord* record = m_directory->find(peer); isBehind && record)
+        tell(NodeRecord(*record), m_directory->records());
+}
+
+DirectoryReply DirectoryControl::onNotice(const DirectoryNotice& notice)
+{
+    Instant now = currentInstant();
+    m_lastHeard = now;
+    m_silences.erase(notice.sender);
+    m_election.noticed(notice.sender, notice.isWatching, now);
+    if (m_directory->mergeAll(notice.records, now))
+        directoryChanged();
+    m_configuration->digestSeen(notice.sender, notice.configurationDigest);
+    DirectoryReply reply { m_directory->digest(), m_digest, {} };
+    if (reply.digest != notice.digest && notice.records.size() <= 1)
+        reply.records = m_directory->records();
+    return reply;
+}
+
+void DirectoryControl::noteSilence(const std::string& peer)
+{
+    Instant now = currentInstant();
+    Silence& silence = m_silences.try_emplace(peer, Silence { now, 0 }).first->second;
+    ++silence.failures;
+    // A node that hears nobody is cut off itself.
+    bool isOther = now - m_lastHeard < noticePeriod * 2;
+    bool isLost = silence.failures >= lostNotices && now - silence.since >= lostTime;
+    if (!isLost || !isOther || m_role != WatchRole::Watcher)
+        return;
+    const NodeRecord* record = m_directory->find(peer);
+    if (!record)
+        return;
+    NodeRecord lost = *record;
+    log(LogLevel::Warning, "node.lost",
+        { { "peer", peer }, { "notices", silence.failures },
+            { "silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - silence.since).count() } });
+    m_silences.erase(peer);
+    if (!m_directory->markLeft(peer, now))
+        return;
+    directoryChanged();
+    tellRegion({ *m_directory->find(peer) });
+    if (m_election.isFirst(*m_directory, now))
+        removeRecord(lost.location.region, peer);
+}
+
+void DirectoryControl::directoryChanged()
+{
+    m_nodeCount = static_cast<uint32_t>(m_directory->liveCount());
+    m_node->setCandidates(std::make_shared<const CandidateList>(m_directory->candidates()));
+    CrashSuspects::Peers peers;
+    peers[m_settings.upstreamService];
+    m_directory->forEachLive([&](const NodeRecord& record) {
+        for (const UpstreamRecord& it : record.upstreams) {
+            if (it.service == m_settings.upstreamService && record.incarnation != m_incarnation)
+                peers[it.service].insert(record.relayAddress);
+        }
+    });
+    m_node->postExecutor([services = m_services, peers = std::move(peers)] {
+        if (services->suspects)
+            services->suspects->setPeers(peers);
+    });
+}
+
+void DirectoryControl::sendNotices(Instant now)
+{
+    bool isIsolated = now - std::max(m_lastHeard, m_startedAt) > isolationTime;
+    if (m_role == WatchRole::Watcher && now >= m_nextNotice) {
+        m_nextNotice = now + noticePeriod;
+        tellRegion({});
+    } else if (m_role != WatchRole::Watcher && isIsolated && now >= m_nextNotice) {
+        m_nextNotice = now + isolationTime;
+        std::vector<NodeRecord> all = m_directory->records();
+        std::erase_if(all, [&](const NodeRecord& it) { return it.name == m_settings.nodeName; });
+        std::vector<NodeRecord> chosen;
+        std::ranges::sample(all, std::back_inserter(chosen), askedWhenIsolated, m_random);
+        for (const NodeRecord& peer : chosen)
+            tell(peer, { m_directory->self() });
+    }
+    if (m_role == WatchRole::Watcher && now >= m_nextRemoteNotice) {
+        m_nextRemoteNotice = now + remoteNoticePeriod;
+        tellOtherRegions();
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Events
+//-----------------------------------------------------------------------------
+
+void DirectoryControl::tick()
+{
+    Instant now = currentInstant();
+    m_directory->tick(now);
+    if (!m_isStopping && !m_isRegistering && !m_recordVersion && now >= m_nextStoreTry)
+        registerNode();
+    if (!m_isStopping && !m_hasRegion && now - m_startedAt >= registrationWait && now >= m_nextStoreTry) {
+        m_hasRegion = true;
+        m_nextStoreTry = now + storeRetryPeriod;
+        readRegion(m_settings.location.region);
+    }
+    refreshRole(now);
+    if (m_role == WatchRole::Watcher && !m_hasOtherRegions && now >= m_nextStoreTry) {
+        m_nextStoreTry = now + storeRetryPeriod;
+        readOtherRegions();
+    }
+    bool mayRead = m_role == WatchRole::Watcher || m_configuration->isReady() || now - m_startedAt > aloneTime;
+    if (mayRead)
+        m_configuration->tick();
+    sendNotices(now);
+}
+
+void DirectoryControl::refreshRole(Instant now)
+{
+    bool isAlone = now - m_startedAt < registrationWait * 2 && !m_hasRegion;
+    bool standsBack = now < m_storeRetryAt && !m_election.isFirst(*m_directory, now);
+    bool shouldWatch = !m_isStopping && !isAlone && !standsBack && m_election.shouldWatch(*m_directory, now);
+    WatchRole role = shouldWatch ? WatchRole::Watcher : WatchRole::None;
+    if (role == m_role)
+        return;
+    m_role = role;
+    log(LogLevel::Info, "store.watch", { { "node", m_settings.nodeName }, { "watching", shouldWatch } });
+    m_configuration->setRole(role);
+}
+
+Result<void> DirectoryControl::onAnnouncement(const Announcement& announcement)
+{
+    if (m_isStopping)
+        return Error { ErrorCode::Unavailable, "announce", announcement.name, "this node is shutting down" };
+    auto before = m_upstream.current();
+    ReportVerdict verdict = m_upstream.announced({ announcement.instance, announcement.service, announcement.address,
+        announcement.bornAt, announcement.sequence, announcement.slots, announcement.state });
+    if (verdict == ReportVerdict::Foreign) {
+        log(LogLevel::Warning, "upstream.foreign",
+            { { "upstream", announcement.name }, { "service", announcement.service },
+                { "address", announcement.address } });
+        return Error { ErrorCode::Invalid, "announce", announcement.name, "of another service or address" };
+    }
+    if (verdict == ReportVerdict::Outdated)
+        log(LogLevel::Info, "upstream.outdated",
+            { { "upstream", announcement.name }, { "sequence", announcement.sequence } });
+    else
+        applyUpstream();
+    return boost::outcome_v2::success();
+}
+
+Result<void> DirectoryControl::onDeparture(const Departure& departure)
+{
+    if (m_upstream.departed(departure.instance))
+        applyUpstream();
+    else
+        log(LogLevel::Info, "upstream.departure_unknown", { { "upstream", departure.instance } });
+    return boost::outcome_v2::success();
+}
+
+// Other nodes know the upstream by the name of its node, which stays when another process takes its place.
+void DirectoryControl::applyUpstream()
+{
+    const UpstreamReport& report = *m_upstream.current();
+    m_node->setUpstream(
+        { m_settings.nodeName, report.service, report.address, report.slots, report.state, report.instance });
+    UpstreamRecord record { m_settings.nodeName, report.service, report.slots, report.state, 0, 1 };
+    std::vector<UpstreamRecord> upstreams { record };
+    if (m_directory->self().upstreams == upstreams)
+        return;
+    log(LogLevel::Info, "upstream.state",
+        { { "upstream", report.instance }, { "service", report.service }, { "to", toString(report.state) },
+            { "slots", report.slots }, { "sequence", report.sequence } });
+    m_directory->update([&](NodeRecord& own) { own.upstreams = upstreams; });
+    directoryChanged();
+    tellRegion({ m_directory->self() });
+}
+
+void DirectoryControl::onRoutes(const std::shared_ptr<const RouteTable>& routes)
+{
+    m_node->setRoutes(routes);
+    m_node->postExecutor([services = m_services, routes] {
+        if (services->operations)
+            services->operations->setRoutes(routes);
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Graceful end
+//-----------------------------------------------------------------------------
+
+void DirectoryControl::stop(std::function<void()> done)
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    log(LogLevel::Info, "node.stopping", { { "node", m_settings.nodeName } });
+    m_stopped = std::move(done);
+    m_directory->update([](NodeRecord& own) {
+        own.status = NodeStatus::Left;
+        own.upstreams.clear();
+    });
+    tellRegion({ m_directory->self() });
+    if (m_recordVersion)
+        m_store->remove(kindOf(m_settings.location.region), m_settings.nodeName, m_recordVersion,
+            [](const Result<uint64_t>& result) {
+                if (!result)
+                    log(LogLevel::Warning, "directory.remove", result.error());
+            });
+    m_node->stop([this] { m_task.post([this] { finishStop("every request in flight has ended"); }); });
+    if (m_settings.drainLimit > Duration {}) {
+        m_drainTimer = m_task.every(m_settings.drainLimit, [this] {
+            finishStop("the drain limit has passed with requests in flight");
+            return false;
+        });
+    }
+}
+
+void DirectoryControl::finishStop(const std::string& reason)
+{
+    if (std::exchange(m_isStopped, true))
+        return;
+    log(LogLevel::Info, "node.stopped", { { "node", m_settings.nodeName }, { "reason", reason } });
+    m_stopped();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Views for operators
+//-----------------------------------------------------------------------------
+
+AdminCallbacks DirectoryControl::adminCallbacks()
+{
+    AdminCallbacks callbacks;
+    callbacks.isHealthy = [this] { return !m_isStopping && m_configuration->isReady(); };
+    callbacks.metrics = [this] { return metricsPage(); };
+    callbacks.status = [this] { return statusJson(); };
+    callbacks.announce = [this](const Announcement& announcement) { return onAnnouncement(announcement); };
+    callbacks.depart = [this](const Departure& departure) { return onDeparture(departure); };
+    callbacks.operations = [] { return std::string("[]"); };
+    callbacks.resolve = [](const Resolution& resolution) -> Result<void> {
+        return Error { ErrorCode::NotFound, "operations.resolve", resolution.operation, "" };
+    };
+    if (m_adapter)
+        callbacks.decode = m_adapter->decodeCall;
+    return callbacks;
+}
+
+std::string DirectoryControl::metricsPage()
+{
+    auto set = [this](const char* name, const char* help, double value) { m_metrics.gauge(name, help).set(value); };
+    set("members_live_count", "Nodes taken for live, this one included.",
+        static_cast<double>(m_directory->liveCount()));
+    set("configuration_store_calls_count", "Calls to the store for configuration since the start.",
+        static_cast<double>(m_configuration->storeCalls()));
+    set("store_watching_count", "1 while this node watches the store.", m_role == WatchRole::Watcher ? 1 : 0);
+    set("relay_dropped_count", "Relay connections closed because of invalid input.",
+        static_cast<double>(m_node->relayDropCount()));
+    return m_metrics.print();
+}
+
+std::string DirectoryControl::statusJson() const
+{
+    Json documents = Json::array();
+    for (const ConfigurationRecord& record : m_configuration->ledger().held())
+        documents.push_back({ { "name", record.name }, { "version", record.version } });
+    Json members = Json::array();
+    m_directory->forEachLive([&](const NodeRecord& record) {
+        members.push_back({ { "name", record.name }, { "dataCentre", record.location.dataCentre },
+            { "relay", record.relayAddress } });
+    });
+    Json status { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
+        { "ready", m_configuration->isReady() }, { "stopping", m_isStopping }, { "configuration", documents },
+        { "members", members } };
+    return status.dump();
+}
+
+} // namespace Gooseberrymill
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -5,6 +5,7 @@
 #include "FleetAuth.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace Gooseberrymill {
@@ -17,6 +18,8 @@
 constexpr size_t writeHighMark = 256 << 10;
 constexpr size_t writeLowMark = 64 << 10;
 constexpr uint64_t maxDiscardedBytes = 1 << 20; // of a body that nobody wants, before the caller is cut off
+constexpr uint32_t maxTurnBacks = 6; // executors asked beyond the attempts, each for a round trip to a node
+constexpr guint firstServerError = 500;
 constexpr std::string_view tokenPath = "/.gooseberrymill/token";
 
 guint statusOf(const Refusal& refusal)
@@ -207,9 +210,11 @@
     if (m_worker.m_hooks.offered)
         m_worker.m_hooks.offered(*m_match.service);
     auto allow = m_worker.m_hooks.allowRetry;
-    m_plan.emplace(m_match.route->repeatable, m_match.service->retry.maxAttempts,
+    uint32_t maxAttempts = m_match.route->maxAttempts ? m_match.route->maxAttempts : m_match.service->retry.maxAttempts;
+    m_plan.emplace(m_match.route->repeatable, maxAttempts,
         allow ? [allow, routes = m_routes, service = m_match.service] { return allow(*service); }
-              : std::function<bool()>());
+              : std::function<bool()>(),
+        maxTurnBacks);
     attempt();
 }
 
@@ -219,16 +224,19 @@
         refuseLocally(RefusalReason::NoConfiguration, "entry.route", {}, 1s);
         return false;
     }
-    auto match = m_routes->match(
-        soup_server_message_get_method(m_message.get()), targetOf(soup_server_message_get_uri(m_message.get())));
-    const char* service = soup_message_headers_get_one(
-        soup_server_message_get_request_headers(m_message.get()), HeaderName::callerService);
-    bool hidden = match && match->route->internal && !(service && m_routes->service(service));
+    auto* headers = soup_server_message_get_request_headers(m_message.get());
+    const char* host = soup_message_headers_get_one(headers, "Host");
+    auto match = m_routes->match(soup_server_message_get_method(m_message.get()),
+        targetOf(soup_server_message_get_uri(m_message.get())), host ? host : "");
+    std::string own = m_worker.m_settings.upstreamService;
+    const char* named = soup_message_headers_get_one(headers, m_worker.m_hooks.headers.callerService);
+    std::string service = own.empty() && named ? named : own;
+    bool hidden = match && match->route->internal && !m_routes->service(service);
     if (!match || hidden) {
         refuseLocally(RefusalReason::NoRoute, "entry.route");
         return false;
     }
-    m_match = *match;
+    m_match = m_routes->drawSplit(*match, m_requestId.low);
     return true;
 }
 
@@ -266,13 +274,22 @@
         m_head.configurationDigest = m_worker.m_hooks.configurationDigest();
 
     auto patience = m_match.route->deadline;
-    if (const Header* wish = findHeader(m_head.headers, HeaderName::deadline)) {
+    const HeaderProfile& profile = m_worker.m_hooks.headers;
+    if (const Header* wish = findHeader(m_head.headers, profile.deadline)) {
         guint64 millis = g_ascii_strtoull(wish->value.c_str(), nullptr, 10);
         if (millis)
             patience = std::min<Duration>(patience, std::chrono::milliseconds(std::min<guint64>(millis, UINT32_MAX)));
     }
     m_deadline = currentInstant() + patience;
-    removeHeaders(m_head.headers, HeaderName::deadline);
+    removeHeaders(m_head.headers, profile.deadline);
+    removeHeaders(m_head.headers, profile.expectedInstance);
+    if (const std::string& own = m_worker.m_settings.upstreamService; !own.empty()) {
+        // Requests begin beside the upstream of this instance, whatever they claim.
+        removeHeaders(m_head.headers, profile.callerService);
+        m_head.headers.push_back({ profile.callerService, own });
+    }
+    if (!profile.describesPath)
+        return;
     removeHeaders(m_head.headers, HeaderName::requestId);
     m_head.headers.push_back({ HeaderName::requestId, toString(m_requestId) });
     const Header* forwarded = findHeader(m_head.headers, HeaderName::forwardedFor);
@@ -459,6 +476,8 @@
 void EntryExchange::onEnd()
 {
     m_call.reset();
+    if (retryFailedAnswer())
+        return;
     m_complete = true;
     if (!m_headWritten) {
         writeHead(m_head.method == "HEAD" ? m_response.bodyLength : static_cast<int64_t>(m_held.size()));
@@ -469,12 +488,37 @@
     updatePause();
 }
 
+// A repeatable request whose upstream answered with a failure is tried at another one, while the answer is held.
+bool EntryExchange::retryFailedAnswer()
+{
+    bool isFailure = m_response.status >= firstServerError && m_match.route->repeatable;
+    if (!isFailure || m_headWritten || !m_plan->mayRetry(true, RefusalReason::Degraded, m_keepsBody))
+        return false;
+    Refusal failure;
+    failure.dispatched = true;
+    failure.reason = RefusalReason::Degraded;
+    m_dispatched = true;
+    ResponseHead held = std::exchange(m_response, {});
+    std::string body = std::exchange(m_held, {});
+    m_gotHead = false;
+    if (tryElsewhere(failure))
+        return true;
+    m_response = std::move(held);
+    m_held = std::move(body);
+    m_gotHead = true;
+    return false;
+}
+
 void EntryExchange::onRefusal(Refusal&& refusal)
 {
     Instant now = currentInstant();
     m_worker.m_balancer->pathResult(m_node, true, now);
     m_worker.m_balancer->finished(m_upstream, refusal.load, now);
     m_call.reset();
+    if (refusal.reason == RefusalReason::Degraded && refusal.load.failurePercent < m_leastPercent) {
+        m_leastPercent = refusal.load.failurePercent;
+        m_leastSuspect = m_upstream;
+    }
     if (refusal.reason == RefusalReason::HeldElsewhere && followHolder(refusal))
         return;
     settleAttempt(std::move(refusal));
@@ -535,17 +579,32 @@
         respondRefusal(refusal);
         return;
     }
-    m_backlog.insert(0, std::exchange(m_kept, {}));
-    BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
-        m_plan->tried() };
     // The refusal of the last attempt says more than the lack of another upstream.
-    if (const Candidate* next = m_worker.m_balancer->choose(request, currentInstant()))
-        sendTo(*next);
-    else
+    if (!tryElsewhere(refusal))
         respondRefusal(refusal);
     updatePause();
 }
 
+bool EntryExchange::tryElsewhere(const Refusal& refusal)
+{
+    BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
+        m_plan->tried() };
+    const Candidate* next = m_worker.m_balancer->choose(request, currentInstant());
+    bool wasAskedLast = m_head.isLastChoice;
+    if (!next && !wasAskedLast && refusal.reason == RefusalReason::Degraded && !m_leastSuspect.empty()) {
+        // Every upstream failed lately. The least suspect one still succeeds more often than a refusal.
+        auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
+        auto it = std::ranges::find(candidates, m_leastSuspect, &Candidate::upstream);
+        next = it == candidates.end() ? nullptr : &*it;
+        m_head.isLastChoice = true;
+    }
+    if (!next)
+        return false;
+    m_backlog.insert(0, std::exchange(m_kept, {}));
+    sendTo(*next);
+    return true;
+}
+
 bool EntryExchange::followHolder(const Refusal& refusal)
 {
     m_knownToHaveRun = m_knownToHaveRun || refusal.outcome == Outcome::Ran;
@@ -572,8 +631,10 @@
 void EntryExchange::addCommonHeaders(Outcome outcome)
 {
     auto* headers = soup_server_message_get_response_headers(m_message.get());
-    soup_message_headers_replace(headers, HeaderName::outcome, std::string(toString(outcome)).c_str());
-    soup_message_headers_replace(headers, HeaderName::requestId, toString(m_requestId).c_str());
+    if (m_worker.m_hooks.headers.describesPath || outcome != Outcome::Ran) {
+        soup_message_headers_replace(headers, HeaderName::outcome, std::string(toString(outcome)).c_str());
+        soup_message_headers_replace(headers, HeaderName::requestId, toString(m_requestId).c_str());
+    }
     if (m_worker.m_draining)
         soup_message_headers_replace(headers, "Connection", "close");
 }
@@ -638,10 +699,19 @@
         { "reason", toString(refusal.reason) }, { "step", refusal.step }, { "peer", refusal.peer },
         { "runs", refusal.runs }, { "requestId", toString(m_requestId) } };
     auto* headers = soup_server_message_get_response_headers(m_message.get());
-    if (refusal.retryAfterMs) {
+    const HeaderProfile& profile = m_worker.m_hooks.headers;
+    if (refusal.retryAfterMs && profile.hasFractionalRetryAfter) {
+        soup_message_headers_replace(headers, HeaderName::retryAfter,
+            fmt::format("{:.3f}", static_cast<double>(refusal.retryAfterMs) / millisPerSecond).c_str());
+    } else if (refusal.retryAfterMs) {
         uint32_t seconds = (refusal.retryAfterMs + millisPerSecond - 1) / millisPerSecond;
         soup_message_headers_replace(headers, HeaderName::retryAfter, std::to_string(seconds).c_str());
     }
+    const char* asked = profile.requestId
+        ? soup_message_headers_get_one(soup_server_message_get_request_headers(m_message.get()), profile.requestId)
+        : nullptr;
+    if (asked)
+        soup_message_headers_replace(headers, profile.requestId, asked);
     addCommonHeaders(refusal.outcome);
     respondJson(statusOf(refusal), body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -43,6 +43,8 @@
     void onRefusal(Refusal&&);
     void onCallFailed(const Error&, Outcome);
     void settleAttempt(Refusal&&);
+    bool tryElsewhere(const Refusal&); // false: no upstream is left
+    bool retryFailedAnswer(); // false: the answer goes to the caller
     bool followHolder(const Refusal&);
     bool mayBeDispatchedAfterHead() const; // when the attempt ends without a response
     bool namesOperation() const;
@@ -70,6 +72,8 @@
     std::shared_ptr<RelayCall> m_call;
     std::string m_upstream; // of the current attempt
     std::string m_node;
+    std::string m_leastSuspect; // upstream that gave the request back with the lowest probability of failures
+    uint32_t m_leastPercent = UINT32_MAX;
 
     // Request body.
     std::string m_backlog; // not yet sent to the executor
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -65,6 +65,7 @@
 };
 
 struct EntryHooks {
+    HeaderProfile headers;
     std::function<void(const Service&)> offered; // a request for a service arrived
     std::function<bool(const Service&)> allowRetry; // RetryBudget; empty: no budget
     std::function<uint64_t()> configurationDigest;
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -42,7 +42,7 @@
               [this](TokenQuery&& query, std::function<void(TokenReply)> reply) {
                   onToken(std::move(query), std::move(reply));
               },
-              m_hooks.configuration, m_hooks.crashes.notice })
+              m_hooks.configuration, m_hooks.crashes.notice, m_hooks.directory })
 {
 }
 
@@ -90,9 +90,11 @@
     bool slotsChanged = isNew || upstream->endpoint.slots != endpoint.slots;
     if (slotsChanged) {
         // Requests in flight keep the session of the client that they started on.
-        upstream->client = std::make_unique<UpstreamClient>(
-            m_task.context(), endpoint.address, endpoint.slots, m_settings.connectTimeout);
+        upstream->client = std::make_unique<UpstreamClient>(m_task.context(), endpoint.address, endpoint.slots,
+            m_settings.connectTimeout, m_settings.upstreamIdleTimeout);
     }
+    if (upstream->endpoint.instance != endpoint.instance)
+        upstream->failures.reset();
     upstream->endpoint = std::move(endpoint);
     if (slotsChanged)
         configure(*upstream);
@@ -110,7 +112,7 @@
 std::optional<LoadReport> ExecutorBase::report(std::string_view upstream) const
 {
     auto it = m_upstreams.find(upstream);
-    return it == m_upstreams.end() ? std::nullopt : std::optional(it->second->report());
+    return it == m_upstreams.end() ? std::nullopt : std::optional(it->second->report(currentInstant()));
 }
 
 void ExecutorBase::refuseWaiting(LocalUpstream& upstream)
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/Admission.h"
+#include "core/FailureEstimator.h"
 #include "core/Health.h"
 #include "RelayServer.h"
 #include "UpstreamClient.h"
@@ -20,6 +21,7 @@
     std::string address; // "ip:port"
     uint32_t slots = 1;
     UpstreamState state = UpstreamState::Ready;
+    std::string instance; // identity that requests are sent to; another process at the address refuses. Empty: any
 };
 
 //-----------------------------------------------------------------------------
@@ -78,6 +80,8 @@
 };
 
 struct ExecutorHooks {
+    HeaderProfile headers;
+    bool turnsBack = false; // gives requests back while the upstream fails most of them
     std::function<void(Task&)> started; // on the executor's task, before it listens
     std::function<void()> stopped; // on the executor's task, after the last request
     OperationGate operations;
@@ -85,6 +89,7 @@
     CrashGate crashes;
     RelayServer::Answer<TokenQuery, TokenReply> token; // empty: a random operation of this incarnation
     RelayServer::Answer<ConfigurationQuery, ConfigurationReply> configuration;
+    RelayServer::Answer<DirectoryNotice, DirectoryReply> directory;
 };
 
 //-----------------------------------------------------------------------------
@@ -144,11 +149,17 @@
     std::unique_ptr<AdmissionPort> queue;
     std::unique_ptr<UpstreamClient> client;
     std::unordered_map<TicketId, std::shared_ptr<ExecutorJob>> waiting;
+    TurnBack failures;
 
-    LoadReport report() const
+    LoadReport report(Instant now) const
     {
+        constexpr double percent = 100;
         LoadReport load = queue->report();
         load.state = endpoint.state;
+        load.failurePercent = static_cast<uint8_t>(failures.probability(now) * percent);
+        bool isPreferred = load.state == UpstreamState::Ready || load.state == UpstreamState::Cold;
+        if (isPreferred && failures.isSuspect(now))
+            load.state = UpstreamState::Degraded;
         return load;
     }
 };
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -90,6 +90,11 @@
         refuse(reason, "executor.upstream");
         return false;
     }
+    bool mayGiveBack = m_executor.m_hooks.turnsBack && !isOperation();
+    if (mayGiveBack && !m_upstream->failures.admits(m_route->repeatable, head().isLastChoice, currentInstant())) {
+        refuse(RefusalReason::Degraded, "executor.failures");
+        return false;
+    }
     return true;
 }
 
@@ -202,7 +207,7 @@
 // An upstream that came back under its name while this request ran is reported as it is now.
 LoadReport ExecutorJob::loadReport() const
 {
-    return m_executor.report(m_upstream->endpoint.name).value_or(m_upstream->report());
+    return m_executor.report(m_upstream->endpoint.name).value_or(m_upstream->report(currentInstant()));
 }
 
 void ExecutorJob::respond(const StoredResponse& stored)
@@ -243,6 +248,11 @@
     m_dispatchedAt = currentInstant();
     UpstreamRequest request { head().requestId, head().method, head().target, head().headers, m_route->repeatable,
         head().bodyLength, std::nullopt, std::max(m_deadline - currentInstant(), Duration {}) };
+    const HeaderProfile& profile = m_executor.m_hooks.headers;
+    request.deadlineName = profile.deadline;
+    request.mayEndWithConnection = profile.mayEndWithConnection;
+    if (!m_upstream->endpoint.instance.empty())
+        request.headers.push_back({ profile.expectedInstance, m_upstream->endpoint.instance });
     if (m_holdsBody) {
         request.bodyLength = static_cast<int64_t>(m_body.size());
         request.body = std::move(m_body);
@@ -307,8 +317,35 @@
         m_call->readMore();
 }
 
+std::optional<RefusalReason> ExecutorJob::rejection() const
+{
+    constexpr uint16_t firstSuccess = 200;
+    constexpr uint16_t firstRedirect = 300;
+    const HeaderProfile& profile = m_executor.m_hooks.headers;
+    if (m_response.status == SOUP_STATUS_MISDIRECTED_REQUEST && !m_upstream->endpoint.instance.empty())
+        return RefusalReason::UpstreamShed;
+    if (findHeader(m_response.headers, profile.notRun))
+        return RefusalReason::UpstreamShed;
+    const Header* asked = profile.requestId ? findHeader(head().headers, profile.requestId) : nullptr;
+    const Header* echoed = profile.requestId ? findHeader(m_response.headers, profile.requestId) : nullptr;
+    if (asked && (!echoed || echoed->value != asked->value))
+        return RefusalReason::UpstreamInvalid;
+    bool isSuccess = m_response.status >= firstSuccess && m_response.status < firstRedirect;
+    if (isSuccess && profile.signature && !findHeader(m_response.headers, profile.signature))
+        return RefusalReason::UpstreamInvalid;
+    return std::nullopt;
+}
+
 void ExecutorJob::onResponseEnd()
 {
+    if (auto reason = m_headSent ? std::nullopt : rejection()) {
+        bool hasRun = *reason != RefusalReason::UpstreamShed;
+        if (hasRun)
+            m_call->dropConnection();
+        leaveSlot(hasRun ? SampleKind::Wrong : SampleKind::Shed, false);
+        refuse(*reason, "executor.response", {}, hasRun);
+        return;
+    }
     leaveSlot(judge(), true);
     if (m_executor.m_hooks.crashes.succeeded)
         m_executor.m_hooks.crashes.succeeded(head(), m_fingerprint);
@@ -419,6 +456,8 @@
 
 void ExecutorJob::recordSample(SampleKind kind, Duration length)
 {
+    if (kind != SampleKind::Cancelled && kind != SampleKind::Shed)
+        m_upstream->failures.record(kind != SampleKind::Ok, currentInstant());
     if (m_executor.m_hooks.sample && m_call->isStarted())
         m_executor.m_hooks.sample(
             m_upstream->endpoint.name, { kind, workKeyOf(*m_service, *m_route), length }, currentInstant());
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -43,6 +43,7 @@
     void sendRefusal(Refusal);
     void leaveSlot(std::optional<SampleKind>, bool completed); // without a kind the sample follows
     SampleKind judge() const;
+    std::optional<RefusalReason> rejection() const; // why the response is none for this request
     LoadReport loadReport() const;
     void end();
 
--- a/src/node/HttpHeaders.h
+++ b/src/node/HttpHeaders.h
@@ -19,6 +19,19 @@
 constexpr const char* contentType = "Content-Type";
 } // namespace HeaderName
 
+// Names and forms that depend on who speaks to the system. The defaults are those of this project.
+struct HeaderProfile {
+    const char* deadline = HeaderName::deadline;
+    const char* callerService = HeaderName::callerService;
+    const char* expectedInstance = "Gooseberrymill-Expected-Instance"; // upstream that alone may run the request
+    const char* notRun = "Gooseberrymill-Not-Run"; // of a response: the upstream did not run the request
+    const char* requestId = nullptr; // id that callers give a request and upstreams echo; null: none
+    const char* signature = nullptr; // of a response: every success has it; null: none
+    bool hasFractionalRetryAfter = false; // whether callers read fractions of a second in Retry-After
+    bool describesPath = true; // whether requests and responses get headers about this system
+    bool mayEndWithConnection = false; // whether a response without a length is whole when its connection ends in order
+};
+
 // Headers without hop-by-hop ones (RFC 9110, section 7.6.1), those named in Connection, and the framing.
 std::vector<Header> endToEndHeaders(SoupMessageHeaders*);
 
--- a/src/node/NodeMain.cpp
+++ b/src/node/NodeMain.cpp
@@ -1,6 +1,7 @@
 #include "NodeMain.h"
 
 #include "ControlPlane.h"
+#include "DirectoryControl.h"
 #include "Log.h"
 
 #include <glib-unix.h>
@@ -11,7 +12,7 @@
 
 struct Stopper {
     Task& task;
-    ControlPlane& control;
+    NodeControl& control;
 
     static gboolean onSignal(gpointer data)
     {
@@ -29,16 +30,39 @@
     return SourceHandle(source);
 }
 
+std::unique_ptr<NodeControl> makeControl(Task& task, const Settings& settings)
+{
+    if (settings.discovery == Discovery::Store)
+        return std::make_unique<DirectoryControl>(task, settings, findPlatformAdapter(settings.platform));
+    return std::make_unique<ControlPlane>(task, settings);
+}
+
+// Settings hold for the life of a process; a changed file takes effect at the next start.
+gboolean onReload(gpointer)
+{
+    log(LogLevel::Info, "node.reload", { { "effect", "settings take effect at the next start" } });
+    return G_SOURCE_CONTINUE;
+}
+
+SourceHandle watchReload(Task& task)
+{
+    GSource* source = g_unix_signal_source_new(SIGHUP);
+    g_source_set_callback(source, &onReload, nullptr, nullptr);
+    g_source_attach(source, task.context());
+    return SourceHandle(source);
+}
+
 } // namespace
 
 int runNode(const Settings& settings)
 {
     Task task("control", Task::Thread::Current);
-    ControlPlane control(task, settings);
-    Stopper stopper { task, control };
+    std::unique_ptr<NodeControl> control = makeControl(task, settings);
+    Stopper stopper { task, *control };
+    SourceHandle reload = watchReload(task);
     SourceHandle terminate = watchSignal(SIGTERM, task, stopper);
     SourceHandle interrupt = watchSignal(SIGINT, task, stopper);
-    if (auto error = control.start()) {
+    if (auto error = control->start()) {
         log(LogLevel::Error, "node.start", *error, { { "node", settings.nodeName } });
         return 1;
     }
--- a/src/node/RelayClient.cpp
+++ b/src/node/RelayClient.cpp
@@ -255,28 +255,41 @@
 }
 
 void RelayClient::query(
-    const std::string& address, RelayMessage message, std::function<void(Result<RelayMessage>)> done)
+    const std::string& address, RelayMessage message, std::function<void(Result<RelayMessage>)> done, Duration limit)
 {
     acquire(address,
-        [this, alive = m_alive, address, message = std::move(message), done = std::move(done)](
+        [this, alive = m_alive, address, message = std::move(message), done = std::move(done), limit](
             Result<std::shared_ptr<RelayConnection>> result) {
             if (!result) {
                 done(result.error());
                 return;
             }
             auto connection = result.value();
+            auto timer = std::make_shared<SourceHandle>();
+            if (limit > Duration {}) {
+                *timer = callAfter(m_context, limit, [connection, done, address, timer] {
+                    auto held = keepAlive(connection);
+                    auto finished = done;
+                    held->setHandlers({});
+                    held->reset();
+                    finished(Error { ErrorCode::Timeout, "relay.query", address, "no reply in time" });
+                    return false;
+                });
+            }
             // The handlers keep the connection until the peer replies or closes.
             connection->setHandlers({
-                [this, alive, address, connection, done](RelayMessage&& reply) {
+                [this, alive, address, connection, done, timer](RelayMessage&& reply) {
                     auto held = keepAlive(connection);
+                    timer->reset();
                     auto finished = done;
                     held->setHandlers({});
                     if (*alive)
                         release(address, held);
                     finished(std::move(reply));
                 },
-                [connection, done](const Error& error) {
+                [connection, done, timer](const Error& error) {
                     auto held = keepAlive(connection);
+                    timer->reset();
                     auto finished = done;
                     held->setHandlers({});
                     finished(error);
--- a/src/node/RelayClient.h
+++ b/src/node/RelayClient.h
@@ -59,8 +59,10 @@
     // Starts a call; no handler runs before it returns.
     std::shared_ptr<RelayCall> call(const std::string& address, RequestHead, RelayCall::Handlers);
 
-    // Sends a TokenQuery or ConfigurationQuery and returns the next message of the peer.
-    void query(const std::string& address, RelayMessage, std::function<void(Result<RelayMessage>)>);
+    // Sends a query or notice and returns the next message of the peer.
+    // `limit`: longest wait for the reply on an open connection; 0: none.
+    void query(
+        const std::string& address, RelayMessage, std::function<void(Result<RelayMessage>)>, Duration limit = {});
 
     size_t idleCount() const;
 
--- a/src/node/RelayConnection.cpp
+++ b/src/node/RelayConnection.cpp
@@ -5,6 +5,15 @@
 
 namespace Gooseberrymill {
 
+namespace {
+
+constexpr gint keepaliveIdleSeconds = 2;
+constexpr gint keepaliveIntervalSeconds = 1;
+constexpr gint keepaliveProbes = 2;
+constexpr gint unacknowledgedMillis = 2500; // longest time that sent bytes may stay unacknowledged
+
+} // namespace
+
 RelayConnection::RelayConnection(GMainContext* context, ObjectHandle<GSocket> socket, const RelayIdentity& identity,
     RelaySide side, std::string peer)
     : m_context(context)
@@ -15,6 +24,12 @@
     g_socket_set_blocking(m_socket.get(), FALSE);
     g_socket_set_timeout(m_socket.get(), 0);
     g_socket_set_option(m_socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    // A connection may fall silent without a reset; probes find it while a request waits on it.
+    g_socket_set_keepalive(m_socket.get(), TRUE);
+    g_socket_set_option(m_socket.get(), IPPROTO_TCP, TCP_KEEPIDLE, keepaliveIdleSeconds, nullptr);
+    g_socket_set_option(m_socket.get(), IPPROTO_TCP, TCP_KEEPINTVL, keepaliveIntervalSeconds, nullptr);
+    g_socket_set_option(m_socket.get(), IPPROTO_TCP, TCP_KEEPCNT, keepaliveProbes, nullptr);
+    g_socket_set_option(m_socket.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis, nullptr);
 }
 
 void RelayConnection::open()
--- a/src/node/RelayFrames.cpp
+++ b/src/node/RelayFrames.cpp
@@ -150,6 +150,8 @@
 constexpr size_t maxHeadBytes = 128 << 10;
 constexpr size_t maxCrashBytes = maxCrashReports * (sizeof(Id128) + sizeof(uint32_t) + 2 * sizeof(Fingerprint)) + 1024;
 
+constexpr size_t maxDirectoryBytes = 4 << 20; // 6,100 nodes of at most 600 bytes each
+
 constexpr std::array<size_t, std::variant_size_v<RelayMessage>> payloadLimits {
     1024, // hello
     maxHeadBytes, // requestHead
@@ -164,6 +166,8 @@
     8 << 20, // configurationReply
     maxCrashBytes, // crashNotice
     maxCrashBytes, // crashNoticeReply
+    maxDirectoryBytes, // directoryNotice
+    maxDirectoryBytes, // directoryReply
 };
 
 void putNumber(std::string& out, size_t at, uint64_t value, size_t bytes)
@@ -207,7 +211,7 @@
 bool isValid(const Refusal& refusal)
 {
     return isValid(refusal.load) && isAtMost(refusal.outcome, Outcome::Ran)
-        && isAtMost(refusal.reason, RefusalReason::Overloaded);
+        && isAtMost(refusal.reason, RefusalReason::Degraded);
 }
 bool isValid(const BodyChunk& chunk) { return chunk.bytes.size() <= maxChunkBytes; }
 bool isValid(const CrashNotice& notice)
@@ -218,6 +222,20 @@
 {
     return reply.reports.size() <= maxCrashReports && reply.cleared.size() <= maxCrashReports;
 }
+bool isValid(const NodeRecord& record)
+{
+    auto isValidUpstream = [](const UpstreamRecord& it) { return isAtMost(it.state, UpstreamState::Gone); };
+    return isAtMost(record.status, NodeStatus::Left) && !record.name.empty()
+        && std::ranges::all_of(record.upstreams, isValidUpstream);
+}
+bool isValid(const DirectoryNotice& notice)
+{
+    return std::ranges::all_of(notice.records, [](const NodeRecord& it) { return isValid(it); });
+}
+bool isValid(const DirectoryReply& reply)
+{
+    return std::ranges::all_of(reply.records, [](const NodeRecord& it) { return isValid(it); });
+}
 template <typename T> bool isValid(const T& /*message*/) { return true; }
 
 template <size_t index = 0> RelayMessage emptyMessage(size_t wanted)
--- a/src/node/RelayFrames.h
+++ b/src/node/RelayFrames.h
@@ -6,6 +6,7 @@
 // nonces and the direction, so a frame is valid in one connection, one direction and one position only.
 #pragma once
 
+#include "core/NodeDirectory.h"
 #include "core/QueryOfDeathFilter.h"
 #include "core/RelayMessages.h"
 #include "FleetAuth.h"
@@ -14,7 +15,8 @@
 
 namespace Gooseberrymill {
 
-constexpr uint16_t relayVersion = 1; // of the messages; a peer one version behind is accepted
+constexpr uint16_t relayVersion
+    = 3; // of the messages; a peer one version behind is accepted. Version 2 was never released
 
 // First frame of each side.
 struct Hello {
@@ -51,7 +53,7 @@
 
 // The kind of a frame is the index of its message plus one.
 using RelayMessage = std::variant<Hello, RequestHead, BodyChunk, BodyEnd, ResponseHead, Refusal, Cancel, TokenQuery,
-    TokenReply, ConfigurationQuery, ConfigurationReply, CrashNotice, CrashNoticeReply>;
+    TokenReply, ConfigurationQuery, ConfigurationReply, CrashNotice, CrashNoticeReply, DirectoryNotice, DirectoryReply>;
 
 enum class RelaySide : uint8_t { Client, Server };
 
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -229,6 +229,8 @@
         m_handlers.configuration(std::move(*query), reply);
     else if (auto* notice = std::get_if<CrashNotice>(&message); notice && m_handlers.crashes)
         m_handlers.crashes(std::move(*notice), reply);
+    else if (auto* directory = std::get_if<DirectoryNotice>(&message); directory && m_handlers.directory)
+        m_handlers.directory(std::move(*directory), reply);
     else
         drop(peer);
 }
--- a/src/node/SettingsFile.cpp
+++ b/src/node/SettingsFile.cpp
@@ -61,6 +61,27 @@
 const TextRule keyRule { "a text of 16 to 1024 printable characters", &isFleetKey, true };
 const TextRule fileNameRule { "a file name, or \"\"", &isPrintable };
 
+const TextRule optionalNameRule { "a name of 1 to 64 letters, digits, '.', '_' or '-', or \"\"",
+    [](std::string_view text) { return text.empty() || isName(text); } };
+const TextRule adapterRule { "mesh, or \"\"", [](std::string_view text) { return text.empty() || text == "mesh"; } };
+
+const TextForm<Discovery> discoveryForm { "text", "gossip or store",
+    [](std::string_view text) -> std::optional<Discovery> {
+        if (text == "gossip")
+            return Discovery::Gossip;
+        return text == "store" ? std::optional(Discovery::Store) : std::nullopt;
+    },
+    [](const Discovery& value) { return std::string(value == Discovery::Store ? "store" : "gossip"); } };
+
+const TextForm<std::optional<ListenAddress>> optionalListenForm { "address", "\"ip:port\", or \"\"",
+    [](std::string_view text) -> std::optional<std::optional<ListenAddress>> {
+        if (text.empty())
+            return std::optional<ListenAddress>();
+        auto address = parseListenAddress(text);
+        return address ? std::optional(address) : std::nullopt;
+    },
+    [](const std::optional<ListenAddress>& value) { return value ? printListenAddress(*value) : std::string(); } };
+
 const TextForm<ListenAddress> listenForm { "address", "\"ip:port\" or \"[ip]:port\"; port 0: any free port",
     &parseListenAddress, &printListenAddress };
 
@@ -69,6 +90,7 @@
 //-----------------------------------------------------------------------------
 
 constexpr size_t maxSeeds = 64;
+constexpr size_t maxDataCentres = 256;
 
 void describeNode(auto& section, Settings& settings)
 {
@@ -79,11 +101,29 @@
     section.integer("workers", settings.workers, { 1, 64 }, Presence::Optional, "Threads that serve callers.");
 }
 
+void describeUpstream(auto& section, Settings& settings)
+{
+    section.text("service", settings.upstreamService, optionalNameRule, Presence::Optional,
+        "Service of the upstream beside this node; empty: as it announces itself.");
+    section.text("address", settings.upstreamAddress, advertiseRule, Presence::Optional,
+        "Address of the upstream beside this node; announcements of other addresses are refused. Empty: any.");
+}
+
+void describePlatform(auto& section, Settings& settings)
+{
+    section.text("adapter", settings.platform, adapterRule, Presence::Optional,
+        "Adapter for the interfaces of the platform; empty: the interfaces of this project.");
+}
+
 void describeListen(auto& section, Settings& settings)
 {
     section.coded("caller", settings.callerListen, listenForm, Presence::Optional, "HTTP for callers.");
     section.coded("relay", settings.relayListen, listenForm, Presence::Optional, "TCP for other nodes.");
     section.coded("gossip", settings.gossipListen, listenForm, Presence::Optional, "UDP for other nodes.");
+    section.coded("readiness", settings.readinessListen, optionalListenForm, Presence::Optional,
+        "HTTP for the readiness check of the platform; empty: on the admin address.");
+    section.coded("metrics", settings.metricsListen, optionalListenForm, Presence::Optional,
+        "HTTP for the metrics page; empty: on the admin address.");
     section.coded(
         "admin", settings.adminListen, listenForm, Presence::Optional, "HTTP for operators and local upstreams.");
 }
@@ -99,7 +139,13 @@
 void describeFleet(auto& section, Settings& settings)
 {
     section.text("key", settings.fleetKey, keyRule, Presence::Required, "Secret shared by all nodes of the fleet.");
+    section.coded("discovery", settings.discovery, discoveryForm, Presence::Optional,
+        "How nodes find each other: gossip, through seeds, or store, through a directory in the object store.");
     section.textList("seeds", settings.seeds, addressRule, maxSeeds, "Gossip addresses of nodes to join through.");
+    section.sections("dataCentre", settings.dataCentres, maxDataCentres, [](auto& item, Location& location) {
+        item.text("name", location.dataCentre, nameRule, Presence::Required, "Name of a data centre of the fleet.");
+        item.text("region", location.region, nameRule, Presence::Required, "Its region.");
+    });
 }
 
 void describeStore(auto& section, Settings& settings)
@@ -121,6 +167,16 @@
         "Longest wait for a connection to an upstream or a node.");
     section.duration("relayIdleTimeout", settings.relayIdleTimeout, { 1s, 1h },
         "Longest idle time of a connection to another node.");
+    section.duration("upstreamIdleTimeout", settings.upstreamIdleTimeout, { 0s, 1h },
+        "Longest idle time of a connection to an upstream; 0s: until the upstream closes it.");
+}
+
+void describeRetry(auto& section, Settings& settings)
+{
+    section.real("share", settings.retryShare, { 0.0, 1.0 },
+        "Retries as a share of the requests of a service, over the whole fleet; 0: as each service configures.");
+    section.real("slack", settings.retrySlack, { 0.0, 1e6 },
+        "Retries of a service in 10 s beyond the share, over the whole fleet.");
 }
 
 void describeDrain(auto& section, Settings& settings)
@@ -140,11 +196,14 @@
 void describeSettings(auto& section, Settings& settings)
 {
     section.section("node", [&](auto& node) { describeNode(node, settings); });
+    section.section("upstream", [&](auto& upstream) { describeUpstream(upstream, settings); });
+    section.section("platform", [&](auto& platform) { describePlatform(platform, settings); });
     section.section("listen", [&](auto& listen) { describeListen(listen, settings); });
     section.section("advertise", [&](auto& advertise) { describeAdvertise(advertise, settings); });
     section.section("fleet", [&](auto& fleet) { describeFleet(fleet, settings); });
     section.section("store", [&](auto& store) { describeStore(store, settings); });
     section.section("limits", [&](auto& limits) { describeLimits(limits, settings); });
+    section.section("retry", [&](auto& retry) { describeRetry(retry, settings); });
     section.section("drain", [&](auto& drain) { describeDrain(drain, settings); });
     section.section("trace", [&](auto& trace) { describeTrace(trace, settings); });
 }
@@ -175,8 +234,8 @@
     return entries;
 }
 
-constexpr std::array<std::string_view, 8> settingsSections { "node", "listen", "advertise", "fleet", "store", "limits",
-    "drain", "trace" };
+constexpr std::array<std::string_view, 11> settingsSections { "node", "retry", "upstream", "platform", "listen",
+    "advertise", "fleet", "store", "limits", "drain", "trace" };
 constexpr std::array<std::string_view, 2> configurationKeys { "name", "service" };
 
 } // namespace
--- a/src/node/StoreClient.cpp
+++ b/src/node/StoreClient.cpp
@@ -1,17 +1,14 @@
 #include "StoreClient.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fmt/format.h>
 #include <list>
-#include <nlohmann/json.hpp>
 
 namespace Gooseberrymill {
 
 namespace {
 
 constexpr size_t maxListBytes = 32 * maxStoreValueBytes;
-constexpr guint statusTooManyRequests = 429; // RFC 6585; libsoup has no name for it
 constexpr size_t readChunkBytes = 65'536;
 constexpr guint maxConnections = 64; // a watch holds one connection while it waits
 
@@ -38,32 +35,24 @@
     return SourceHandle(source);
 }
 
-std::optional<uint64_t> parseTag(const char* tag)
+StoreCall storeCall(StoreVerb verb, std::string_view kind, std::string_view name, uint64_t version = 0)
 {
-    std::string_view text = tag ? tag : "";
-    if (text.size() < 3 || text.front() != '"' || text.back() != '"')
-        return std::nullopt;
-    text = text.substr(1, text.size() - 2);
-    uint64_t version = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), version);
-    if (ec != std::errc() || end != text.data() + text.size() || !version)
-        return std::nullopt;
-    return version;
+    StoreCall call;
+    call.verb = verb;
+    call.kind = kind;
+    call.name = name;
+    call.version = version;
+    return call;
 }
 
+std::string describeStatus(uint32_t status) { return fmt::format("status {}", status); }
+
 } // namespace
 
 //-----------------------------------------------------------------------------
 // [SECTION] One call
 //-----------------------------------------------------------------------------
 
-// A complete answer of the store, whatever its status.
-struct StoreClient::Answer {
-    guint status = 0;
-    std::optional<uint64_t> version;
-    std::string body;
-};
-
 struct StoreClient::Shared {
     ObjectHandle<SoupSession> session;
     std::list<std::shared_ptr<Call>> calls;
@@ -82,12 +71,12 @@
     bool isWrite = false;
     bool isStarted = false; // the request may have left this process
     bool isTimedOut = false;
-    std::function<void(Result<Answer>)> onAnswer;
+    std::function<void(Result<StoreHttpAnswer>)> onAnswer;
 
     void send(SoupSession* session);
     void readMore();
     void fail(const GError*);
-    void finish(Result<Answer>);
+    void finish(Result<StoreHttpAnswer>);
 
     Error makeError(ErrorCode ec, std::string detail = "") const { return { ec, step, peer, std::move(detail) }; }
 
@@ -156,9 +145,10 @@
         return;
     }
     SoupMessageHeaders* headers = soup_message_get_response_headers(call->message.get());
-    Answer answer;
+    StoreHttpAnswer answer;
     answer.status = soup_message_get_status(call->message.get());
-    answer.version = parseTag(soup_message_headers_get_one(headers, "ETag"));
+    const char* etag = soup_message_headers_get_one(headers, "ETag");
+    answer.etag = etag ? etag : "";
     answer.body = std::move(call->body);
     call->finish(std::move(answer));
 }
@@ -174,7 +164,7 @@
         finish(makeError(ErrorCode::Unavailable, std::move(detail)));
 }
 
-void StoreClient::Call::finish(Result<Answer> result)
+void StoreClient::Call::finish(Result<StoreHttpAnswer> result)
 {
     timer.reset();
     g_signal_handlers_disconnect_by_data(message.get(), this);
@@ -186,76 +176,14 @@
     callback(std::move(result));
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Answers
-//-----------------------------------------------------------------------------
-
-namespace {
-
-// What a status means for a read. 304 ends a watch without a change.
-std::optional<ErrorCode> readError(guint status)
-{
-    if (status == SOUP_STATUS_OK)
-        return std::nullopt;
-    if (status == SOUP_STATUS_NOT_FOUND)
-        return ErrorCode::NotFound;
-    if (status == SOUP_STATUS_NOT_MODIFIED)
-        return ErrorCode::Timeout;
-    bool isTemporary = status >= SOUP_STATUS_INTERNAL_SERVER_ERROR || status == statusTooManyRequests;
-    return isTemporary ? ErrorCode::Unavailable : ErrorCode::Invalid;
-}
-
-// What a status means for a write. A 5xx may come from something in front of the store that has already
-// passed the write on.
-std::optional<ErrorCode> writeError(guint status)
-{
-    switch (status) {
-    case SOUP_STATUS_OK:
-    case SOUP_STATUS_CREATED:
-    case SOUP_STATUS_NO_CONTENT:
-        return std::nullopt;
-    case SOUP_STATUS_PRECONDITION_FAILED:
-        return ErrorCode::Conflict;
-    case SOUP_STATUS_NOT_FOUND:
-        return ErrorCode::NotFound;
-    case SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE:
-        return ErrorCode::TooLarge;
-    case statusTooManyRequests:
-        return ErrorCode::Unavailable;
-    default:
-        return status >= SOUP_STATUS_BAD_REQUEST && status < SOUP_STATUS_INTERNAL_SERVER_ERROR ? ErrorCode::Invalid
-                                                                                               : ErrorCode::AnswerLost;
-    }
-}
-
-std::string describeStatus(guint status) { return fmt::format("status {}", status); }
-
-std::optional<std::vector<StoredObject>> parseList(const std::string& kind, const std::string& body)
-{
-    auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("objects") || !json["objects"].is_array())
-        return std::nullopt;
-    std::vector<StoredObject> objects;
-    objects.reserve(json["objects"].size());
-    for (const auto& item : json["objects"]) {
-        if (!item.is_object() || !item.contains("name") || !item["name"].is_string() || !item.contains("version")
-            || !item["version"].is_number_unsigned() || !item.contains("value"))
-            return std::nullopt;
-        objects.push_back(
-            { kind, item["name"].get<std::string>(), item["version"].get<uint64_t>(), item["value"].dump() });
-    }
-    return objects;
-}
-
-} // namespace
-
 //-----------------------------------------------------------------------------
 // [SECTION] Client
 //-----------------------------------------------------------------------------
 
-StoreClient::StoreClient(std::string url, Duration timeout)
+StoreClient::StoreClient(std::string url, Duration timeout, const StoreDialect& dialect)
     : m_url(std::move(url))
     , m_timeout(timeout)
+    , m_dialect(dialect)
     , m_shared(std::make_shared<Shared>())
 {
     m_shared->session.reset(soup_session_new_with_options(
@@ -281,28 +209,18 @@
 
 size_t StoreClient::pendingCalls() const { return m_shared->calls.size(); }
 
-std::string StoreClient::objectUrl(std::string_view kind, std::string_view name) const
-{
-    auto escape = [](std::string_view text) {
-        std::unique_ptr<char, decltype(&g_free)> escaped(
-            g_uri_escape_string(std::string(text).c_str(), "/", FALSE), &g_free);
-        return std::string(escaped.get());
-    };
-    return fmt::format("{}/objects/{}/{}", m_url, escape(kind), escape(name));
-}
-
-std::shared_ptr<StoreClient::Call> StoreClient::startCall(
-    const char* method, const std::string& url, std::string step, Duration limit)
+std::shared_ptr<StoreClient::Call> StoreClient::startCall(const StoreCall& wanted, std::string step, Duration limit)
 {
+    StoreHttpRequest request = m_dialect.encode(wanted);
     auto call = std::make_shared<Call>();
     call->shared = m_shared;
     call->step = std::move(step);
     call->peer = m_url;
-    call->message.reset(soup_message_new(method, url.c_str()));
+    call->message.reset(soup_message_new(request.method, (m_url + request.target).c_str()));
     m_shared->calls.push_back(call);
     std::weak_ptr<Call> weak = call;
     if (!call->message) {
-        call->message.reset(soup_message_new(method, "http://127.0.0.1/")); // never sent
+        call->message.reset(soup_message_new("GET", "http://127.0.0.1/")); // never sent
         call->timer = runLater(0s, [weak] {
             if (auto held = weak.lock())
                 held->finish(held->makeError(ErrorCode::Invalid, "the store's address is not a URL"));
@@ -310,6 +228,13 @@
         return call;
     }
     soup_message_add_flags(call->message.get(), SOUP_MESSAGE_NO_REDIRECT);
+    SoupMessageHeaders* headers = soup_message_get_request_headers(call->message.get());
+    for (const Header& header : request.headers)
+        soup_message_headers_replace(headers, header.name.c_str(), header.value.c_str());
+    if (!request.body.empty()) {
+        BytesHandle bytes(g_bytes_new(request.body.data(), request.body.size()));
+        soup_message_set_request_body_from_bytes(call->message.get(), "application/json", bytes.get());
+    }
     call->timer = runLater(limit, [weak] {
         if (auto held = weak.lock()) {
             held->isTimedOut = true;
@@ -339,20 +264,19 @@
 void StoreClient::get(std::string_view kind, std::string_view name, Callback<StoredObject> callback)
 {
     ++m_counts[std::string(kind)].reads;
-    auto call = startCall("GET", objectUrl(kind, name), "store.get", m_timeout);
-    StoredObject object { std::string(kind), std::string(name), 0, "" };
+    auto call = startCall(storeCall(StoreVerb::Get, kind, name), "store.get", m_timeout);
     Error blank = call->makeError(ErrorCode::Malformed);
-    call->onAnswer = [object, blank, callback = std::move(callback)](Result<Answer> result) mutable {
+    call->onAnswer = [this, blank, kind = std::string(kind), name = std::string(name), callback = std::move(callback)](
+                         Result<StoreHttpAnswer> result) {
         if (!result)
             return callback(result.error());
-        Answer& answer = result.value();
-        if (auto ec = readError(answer.status))
-            return callback(Error { *ec, blank.step, blank.peer, describeStatus(answer.status) });
-        if (!answer.version)
-            return callback(Error { blank.code, blank.step, blank.peer, "no version in ETag" });
-        object.version = *answer.version;
-        object.value = std::move(answer.body);
-        callback(std::move(object));
+        uint32_t status = result.value().status;
+        if (auto ec = m_dialect.errorOf(StoreVerb::Get, status))
+            return callback(Error { *ec, blank.step, blank.peer, describeStatus(status) });
+        auto object = m_dialect.decodeObject(storeCall(StoreVerb::Get, kind, name), std::move(result.value()));
+        if (!object)
+            return callback(Error { blank.code, blank.step, blank.peer, "not an object with a version" });
+        callback(std::move(*object));
     };
 }
 
@@ -360,74 +284,86 @@
     Callback<uint64_t> callback)
 {
     ++m_counts[std::string(kind)].writes;
-    auto call = startCall("PUT", objectUrl(kind, name), "store.put", m_timeout);
+    StoreVerb verb = version ? StoreVerb::Replace : StoreVerb::Create;
+    StoreCall wanted = storeCall(verb, kind, name, version);
+    wanted.value = value;
+    bool isTooLarge = value.size() > maxStoreValueBytes;
+    if (isTooLarge)
+        wanted.value = {};
+    auto call = startCall(wanted, "store.put", m_timeout);
     call->isWrite = true;
     Error blank = call->makeError(ErrorCode::AnswerLost);
-    call->onAnswer = [blank, callback = std::move(callback)](Result<Answer> result) {
+    if (isTooLarge) {
+        g_cancellable_cancel(call->cancellable.get());
+        call->onAnswer = [blank, callback = std::move(callback)](const Result<StoreHttpAnswer>&) {
+            callback(Error { ErrorCode::TooLarge, blank.step, blank.peer, "the value exceeds 1 MB" });
+        };
+        return;
+    }
+    soup_message_add_flags(call->message.get(), SOUP_MESSAGE_NEW_CONNECTION);
+    call->onAnswer = [this, blank, verb, callback = std::move(callback)](const Result<StoreHttpAnswer>& result) {
         if (!result)
             return callback(result.error());
-        const Answer& answer = result.value();
-        if (auto ec = writeError(answer.status)) {
+        const StoreHttpAnswer& answer = result.value();
+        if (auto ec = m_dialect.errorOf(verb, answer.status)) {
             // An object that is gone fails the condition that it has the version given.
             ErrorCode code = *ec == ErrorCode::NotFound ? ErrorCode::Conflict : *ec;
             return callback(Error { code, blank.step, blank.peer, describeStatus(answer.status) });
         }
-        if (!answer.version)
-            return callback(Error { blank.code, blank.step, blank.peer, "no version in ETag" });
-        callback(*answer.version);
+        auto written = m_dialect.decodeVersion(answer);
+        if (!written)
+            return callback(Error { blank.code, blank.step, blank.peer, "no version in the answer" });
+        callback(*written);
     };
-    if (value.size() > maxStoreValueBytes) {
-        g_cancellable_cancel(call->cancellable.get());
-        call->onAnswer = [blank, tell = std::move(call->onAnswer)](const Result<Answer>&) {
-            tell(Error { ErrorCode::TooLarge, blank.step, blank.peer, "the value exceeds 1 MB" });
-        };
-        return;
-    }
-    soup_message_add_flags(call->message.get(), SOUP_MESSAGE_NEW_CONNECTION);
-    SoupMessageHeaders* headers = soup_message_get_request_headers(call->message.get());
-    if (version)
-        soup_message_headers_replace(headers, "If-Match", fmt::format("\"{}\"", version).c_str());
-    else
-        soup_message_headers_replace(headers, "If-None-Match", "*");
-    BytesHandle bytes(g_bytes_new(value.data(), value.size()));
-    soup_message_set_request_body_from_bytes(call->message.get(), "application/json", bytes.get());
 }
 
 void StoreClient::remove(std::string_view kind, std::string_view name, uint64_t version, Callback<uint64_t> callback)
 {
     ++m_counts[std::string(kind)].writes;
-    auto call = startCall("DELETE", objectUrl(kind, name), "store.remove", m_timeout);
+    auto call = startCall(storeCall(StoreVerb::Remove, kind, name, version), "store.remove", m_timeout);
     call->isWrite = true;
     soup_message_add_flags(call->message.get(), SOUP_MESSAGE_NEW_CONNECTION);
-    SoupMessageHeaders* headers = soup_message_get_request_headers(call->message.get());
-    soup_message_headers_replace(headers, "If-Match", fmt::format("\"{}\"", version).c_str());
     Error blank = call->makeError(ErrorCode::AnswerLost);
-    call->onAnswer = [blank, version, callback = std::move(callback)](Result<Answer> result) {
+    call->onAnswer = [this, blank, version, callback = std::move(callback)](const Result<StoreHttpAnswer>& result) {
         if (!result)
             return callback(result.error());
-        const Answer& answer = result.value();
-        if (auto ec = writeError(answer.status))
+        const StoreHttpAnswer& answer = result.value();
+        if (auto ec = m_dialect.errorOf(StoreVerb::Remove, answer.status))
             return callback(Error { *ec, blank.step, blank.peer, describeStatus(answer.status) });
-        callback(answer.version.value_or(version));
+        callback(m_dialect.decodeVersion(answer).value_or(version));
     };
 }
 
 void StoreClient::list(std::string_view kind, Callback<std::vector<StoredObject>> callback)
 {
-    ++m_counts[std::string(kind)].lists;
-    auto call = startCall("GET", objectUrl(kind, ""), "store.list", m_timeout);
+    listFrom(std::string(kind), "", {}, std::move(callback));
+}
+
+// A store may return a long list in parts; each part is a call of its own.
+void StoreClient::listFrom(const std::string& kind, const std::string& after, std::vector<StoredObject>&& held,
+    Callback<std::vector<StoredObject>> callback)
+{
+    ++m_counts[kind].lists;
+    StoreCall wanted = storeCall(StoreVerb::List, kind, {});
+    wanted.after = after;
+    auto call = startCall(wanted, "store.list", m_timeout);
     call->maxBodyBytes = maxListBytes;
     Error blank = call->makeError(ErrorCode::Malformed);
-    call->onAnswer = [blank, kind = std::string(kind), callback = std::move(callback)](Result<Answer> result) {
+    call->onAnswer = [this, blank, kind, held = std::move(held), callback = std::move(callback)](
+                         Result<StoreHttpAnswer> result) mutable {
         if (!result)
             return callback(result.error());
-        const Answer& answer = result.value();
-        if (auto ec = readError(answer.status))
-            return callback(Error { *ec, blank.step, blank.peer, describeStatus(answer.status) });
-        auto objects = parseList(kind, answer.body);
-        if (!objects)
+        uint32_t status = result.value().status;
+        if (auto ec = m_dialect.errorOf(StoreVerb::List, status))
+            return callback(Error { *ec, blank.step, blank.peer, describeStatus(status) });
+        auto page = m_dialect.decodePage(storeCall(StoreVerb::List, kind, {}), std::move(result.value()));
+        if (!page)
             return callback(Error { blank.code, blank.step, blank.peer, "not a list of objects" });
-        callback(std::move(*objects));
+        std::ranges::move(page->objects, std::back_inserter(held));
+        if (page->more && !page->objects.empty())
+            return listFrom(kind, held.back().name, std::move(held), std::move(callback));
+        m_revisions[kind] = std::max(m_revisions[kind], page->revision);
+        callback(std::move(held));
     };
 }
 
@@ -435,24 +371,33 @@
     std::string_view kind, std::string_view name, uint64_t version, Duration patience, Callback<StoredObject> callback)
 {
     ++m_counts[std::string(kind)].watches;
-    auto seconds = std::max<int64_t>(1, std::chrono::duration_cast<std::chrono::seconds>(patience).count());
-    std::string url = fmt::format("{}?watch={}&timeout={}", objectUrl(kind, name), version, seconds);
+    patience = std::max<Duration>(1s, std::chrono::duration_cast<std::chrono::seconds>(patience));
+    // The store keeps a short history, so a watch starts from the last revision seen, not from that of the object.
+    uint64_t since = std::max(version, m_revisions[std::string(kind)]);
     // A store that stays silent beyond the agreed time is given up, like a call without an answer.
-    auto call = startCall("GET", url, "store.watch", std::chrono::seconds(seconds) + m_timeout);
-    StoredObject object { std::string(kind), std::string(name), 0, "" };
+    StoreCall wanted = storeCall(StoreVerb::Watch, kind, name, since);
+    wanted.patience = patience;
+    auto call = startCall(wanted, "store.watch", patience + m_timeout);
     Error blank = call->makeError(ErrorCode::Malformed);
-    call->onAnswer = [object, blank, version, callback = std::move(callback)](Result<Answer> result) mutable {
+    call->onAnswer = [this, blank, kind = std::string(kind), name = std::string(name), version,
+                         callback = std::move(callback)](Result<StoreHttpAnswer> result) {
         if (!result)
             return callback(result.error());
-        Answer& answer = result.value();
-        if (auto ec = readError(answer.status))
-            return callback(Error { *ec, blank.step, blank.peer, describeStatus(answer.status) });
-        if (!answer.version || *answer.version <= version)
+        uint32_t status = result.value().status;
+        if (auto ec = m_dialect.errorOf(StoreVerb::Watch, status))
+            return callback(Error { *ec, blank.step, blank.peer, describeStatus(status) });
+        auto page = m_dialect.decodePage(storeCall(StoreVerb::Watch, kind, name), std::move(result.value()));
+        if (!page)
+            return callback(Error { blank.code, blank.step, blank.peer, "not the changes of a watch" });
+        m_revisions[kind] = std::max(m_revisions[kind], page->revision);
+        // The last change of the object counts.
+        auto it = std::ranges::find(page->objects.rbegin(), page->objects.rend(), name, &StoredObject::name);
+        if (it == page->objects.rend())
+            return callback(Error { ErrorCode::Timeout, blank.step, blank.peer, "no change of the object" });
+        if (it->version <= version)
             return callback(
                 Error { blank.code, blank.step, blank.peer, "the answer is not newer than the version watched" });
-        object.version = *answer.version;
-        object.value = std::move(answer.body);
-        callback(std::move(object));
+        callback(std::move(*it));
     };
 }
 
--- a/src/node/StoreClient.h
+++ b/src/node/StoreClient.h
@@ -3,6 +3,7 @@
 
 #include "core/ObjectStore.h"
 #include "GlibHandles.h"
+#include "StoreDialect.h"
 
 #include <libsoup/soup.h>
 #include <map>
@@ -28,7 +29,7 @@
 // idempotent HTTP method by itself when a kept-alive connection closes.
 class StoreClient {
 public:
-    StoreClient(std::string url, Duration timeout);
+    StoreClient(std::string url, Duration timeout, const StoreDialect& = nativeStoreDialect());
     StoreClient(const StoreClient&) = delete;
     StoreClient& operator=(const StoreClient&) = delete;
     ~StoreClient();
@@ -49,13 +50,15 @@
 private:
     struct Shared;
     struct Call;
-    struct Answer;
 
-    std::string objectUrl(std::string_view kind, std::string_view name) const;
-    std::shared_ptr<Call> startCall(const char* method, const std::string& url, std::string step, Duration limit);
+    std::shared_ptr<Call> startCall(const StoreCall&, std::string step, Duration limit);
+    void listFrom(const std::string& kind, const std::string& after, std::vector<StoredObject>&& held,
+        Callback<std::vector<StoredObject>>);
 
     std::string m_url;
     Duration m_timeout;
+    const StoreDialect& m_dialect;
+    std::map<std::string, uint64_t> m_revisions; // newest revision of the store seen in lists and watches, by kind
     std::shared_ptr<Shared> m_shared;
     std::map<std::string, StoreCallCounts> m_counts;
 };
--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -123,7 +123,8 @@
     for (const Header& header : request.headers)
         soup_message_headers_append(headers, header.name.c_str(), header.value.c_str());
     auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(request.timeLeft).count();
-    soup_message_headers_replace(headers, HeaderName::deadline, std::to_string(millis).c_str());
+    soup_message_headers_replace(headers, request.deadlineName, std::to_string(millis).c_str());
+    m_mayEndWithConnection = request.mayEndWithConnection;
     setBody(std::move(request));
     g_signal_connect(m_message.get(), "starting", G_CALLBACK(onStarting), this);
     g_signal_connect(m_message.get(), "network-event", G_CALLBACK(onNetworkEvent), this);
@@ -158,7 +159,7 @@
         return;
     }
     m_gotHead = true;
-    if (!hasVerifiableEnd(m_message.get())) {
+    if (!m_mayEndWithConnection && !hasVerifiableEnd(m_message.get())) {
         fail({ { ErrorCode::Invalid, "upstream.head", m_peer, "the response has no length" },
             RefusalReason::UpstreamInvalid, true });
         return;
@@ -226,6 +227,12 @@
         release();
 }
 
+void UpstreamCall::dropConnection()
+{
+    if (m_socket && !g_socket_is_closed(m_socket.get()))
+        g_socket_shutdown(m_socket.get(), TRUE, TRUE, nullptr);
+}
+
 Duration UpstreamCall::serviceTime() const { return m_started ? currentInstant() - m_startedAt : Duration {}; }
 
 RefusalReason UpstreamCall::reasonOf(const GError* error) const
@@ -272,14 +279,15 @@
 //-----------------------------------------------------------------------------
 
 UpstreamClient::UpstreamClient(
-    GMainContext* context, const std::string& address, uint32_t slots, Duration connectTimeout)
+    GMainContext* context, const std::string& address, uint32_t slots, Duration connectTimeout, Duration idleTimeout)
     : m_context(context)
     , m_connectTimeout(connectTimeout)
     , m_base(g_uri_parse(("http://" + address + "/").c_str(), uriFlags, nullptr))
 {
     int connections = static_cast<int>(2 * slots + spareConnections);
     m_session.reset(soup_session_new_with_options("max-conns", connections, "max-conns-per-host", connections,
-        "timeout", 0U, "idle-timeout", 0U, "proxy-resolver", nullptr, nullptr));
+        "timeout", 0U, "idle-timeout", static_cast<guint>(std::chrono::ceil<std::chrono::seconds>(idleTimeout).count()),
+        "proxy-resolver", nullptr, nullptr));
     for (GType feature : { SOUP_TYPE_AUTH_MANAGER, SOUP_TYPE_CONTENT_DECODER, SOUP_TYPE_COOKIE_JAR })
         soup_session_remove_feature_by_type(m_session.get(), feature);
 }
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -19,6 +19,8 @@
     int64_t bodyLength = 0; // -1: unknown, sent in chunks
     std::optional<std::string> body; // whole body; empty optional: pushed while it arrives
     Duration timeLeft {};
+    const char* deadlineName = HeaderName::deadline;
+    bool mayEndWithConnection = false; // as in HeaderProfile
 };
 
 struct UpstreamFailure {
@@ -53,6 +55,7 @@
     bool wantsBody() const { return m_body.bufferedBytes() < bodyBufferBytes; }
     void readMore(); // does nothing while a read is pending
     void cancel();
+    void dropConnection(); // what comes on it may belong to another request; no later request uses it
     bool isStarted() const { return m_started; }
     Duration serviceTime() const; // since the request was started
 
@@ -87,12 +90,15 @@
     bool m_reading = false;
     bool m_connectTimedOut = false;
     bool m_done = false;
+    bool m_mayEndWithConnection = false;
 };
 
 class UpstreamClient {
 public:
     // `slots`: requests that run at once.
-    UpstreamClient(GMainContext*, const std::string& address, uint32_t slots, Duration connectTimeout);
+    // `idleTimeout`: of a kept-alive connection; 0: until the upstream closes it.
+    UpstreamClient(
+        GMainContext*, const std::string& address, uint32_t slots, Duration connectTimeout, Duration idleTimeout = {});
 
     std::shared_ptr<UpstreamCall> start(UpstreamRequest, UpstreamCall::Handlers);
 
--- a/src/node/UpstreamSupervisor.h
+++ b/src/node/UpstreamSupervisor.h
@@ -260,7 +260,8 @@
         m_state = state;
         m_address = m_announcement.address;
         m_published = record;
-        m_hooks.setEndpoint({ record.name, record.service, m_announcement.address, record.slots, state });
+        m_hooks.setEndpoint(
+            { record.name, record.service, m_announcement.address, record.slots, state, m_announcement.instance });
         m_hooks.publish(record);
     }
 
--- a/tests/BasicsTests.cpp
+++ b/tests/BasicsTests.cpp
@@ -37,7 +37,7 @@
 // Guards against an enumerator without a name in logs and answers.
 BOOST_AUTO_TEST_CASE(everyEnumeratorHasName)
 {
-    for (int i = 0; i <= static_cast<int>(RefusalReason::AnswerNotRecorded); ++i)
+    for (int i = 0; i <= static_cast<int>(RefusalReason::Degraded); ++i)
         BOOST_TEST(toString(static_cast<RefusalReason>(i)) != "invalid");
     for (int i = 0; i <= static_cast<int>(ErrorCode::Invalid); ++i)
         BOOST_TEST(errorCategory().message(i) != (i == static_cast<int>(ErrorCode::Invalid) ? "ok" : "invalid"));
