Give back what waits at a draining executor; read at once when the store's history is gone; logs to standard output

Watches now last 1 s and a lost history is read at once. Ruled out: a stale list (versions in the log rise in order). Tests: ExecutorDrainTests, ConfigurationLedgerTests/lostHistoryIsFollowedByARead, and tests of the new modules. Log lines of decisions about requests go to standard output, bounded and without blocking.

--- a/python/gooseberrymill.py
+++ b/python/gooseberrymill.py
@@ -146,6 +146,7 @@
 _PATH = _text(
     r"/|/[!$-)+-;=@-\[\]-~]*(/\*)?|/\*", 512,
     '"/exact" or "/prefix/*", printable ASCII without spaces, at most 512 characters')
+_HOST = _text(r"[a-z0-9.-]*", 253, 'a host name in lower case without a port, or "" for any')
 _HEADER = _text(r"[A-Za-z0-9!#$%&'*+.^_`|~-]*", 64, 'a header name of at most 64 characters, or "" for none')
 _CONTENT_TYPE = _text(
     r"|[!#-.0-\[\]-~]+/[!#-\[\]-~]+", 128, 'a media type such as "application/json", or "" for any')
@@ -235,6 +236,14 @@
     min_bytes: str = _key("minBytes", _size("0B", "1GiB"), "0B")
 
 
+@dataclass
+class WeightedService:
+    """A share of the requests of a route that several services serve."""
+
+    service: str = _key("service", _NAME)
+    weight: int = _key("weight", _integer(1, 1_000_000))
+
+
 @dataclass
 class Route:
     """Requests of one path, or of all paths with one prefix.
@@ -246,11 +255,14 @@
     path: str = _key("path", _PATH)
     methods: List[str] = _key("methods", _METHOD, is_list=True)
     repeatable: bool = _key("repeatable", _flag, False)
+    host: str = _key("host", _HOST, "")
+    max_attempts: int = _key("maxAttempts", _integer(0, 10), 0)
     internal: bool = _key("internal", _flag, False)
     work_class: WorkClass = _key("class", _choice, WorkClass.INTERACTIVE)
     deadline: str = _key("deadline", _duration("1ms", "1d"), "10s")
     max_body: str = _key("maxBodyBytes", _size("0B", "1GiB"), "1MiB")
     check: AnswerCheck = _table("check", AnswerCheck)
+    split: List[WeightedService] = _tables("split")
 
 
 @dataclass
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -31,17 +31,17 @@
 
 
 class Process:
-    """A child process whose JSON log lines on standard error are kept."""
+    """A child process whose JSON log lines on standard output are kept."""
 
     def __init__(self, name, *command):
         self.name = name
         self.events = []
-        self.child = subprocess.Popen(command, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True)
+        self.child = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
         self.reader = threading.Thread(target=self._read, daemon=True)
         self.reader.start()
 
     def _read(self):
-        for line in self.child.stderr:
+        for line in self.child.stdout:
             try:
                 self.events.append(json.loads(line))
             except ValueError:
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -373,6 +373,10 @@
                 return candidate;
         }
     }
+    for (size_t i = 0; m_options.asksRegionFirst && i < regionTier; ++i) {
+        if (const Candidate* candidate = chooseInTier(view.tiers[i], request, Pass::Degraded, now))
+            return candidate;
+    }
     for (Pass pass : { Pass::Free, Pass::Degraded, Pass::Full, Pass::BadPath }) {
         for (const std::vector<Member>& tier : view.tiers) {
             if (const Candidate* candidate = chooseInTier(tier, request, pass, now))
--- a/src/core/Balancer.h
+++ b/src/core/Balancer.h
@@ -105,6 +105,9 @@
     Duration reportLifetime = 2s; // a load report loses its weight linearly over this time
     Duration pathBackoff = 500ms; // after the first failure to reach a node; doubles on each further one
     Duration maxPathBackoff = 30s;
+    // Whether a degraded upstream of the region is asked before a healthy one of another region. For executors that
+    // give requests back by what they know now, which costs less than the way to another region.
+    bool asksRegionFirst = false;
     Duration viewLifetime = 5s; // state of a service without requests for so long is dropped
 };
 
--- a/src/core/Configuration.h
+++ b/src/core/Configuration.h
@@ -50,7 +50,7 @@
 
 struct Route {
     std::string name;
-    std::string host; // without port; empty: any host
+    std::string host {}; // without port; empty: any host
     std::vector<std::string> methods; // empty: any method
     std::string path; // "/exact" or "/prefix/*"
     bool repeatable = false; // may be sent to an upstream more than once
@@ -59,7 +59,7 @@
     Duration deadline = 10s; // patience of the caller, unless the request brings a shorter one
     uint64_t maxBodyBytes = 1 << 20;
     AnswerCheck check;
-    std::vector<WeightedService> split; // empty: the service that lists the route serves all of it
+    std::vector<WeightedService> split {}; // empty: the service that lists the route serves all of it
     bool isSplitTarget = false; // listed for the requests that another service's route splits off; never matched
     uint32_t maxAttempts = 0; // upstreams that one request may be sent to; 0: as the service's retry policy says
     bool operator==(const Route&) const = default;
--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -230,7 +230,7 @@
 }
 
 void ConfigurationSync::watchAnswered(
-    std::string_view name, const std::optional<ConfigurationRecord>& document, Instant now, bool hasFailed)
+    std::string_view name, const std::optional<ConfigurationRecord>& document, Instant now, WatchEnd end)
 {
     auto it = m_watches.find(name);
     if (it != m_watches.end())
@@ -242,12 +242,14 @@
     if (m_role != WatchRole::Watcher)
         return;
     bool isNews = document && document->version > m_ledger.version(name);
-    bool endedInOrder = m_settings.keepsWatch && !document && !hasFailed;
+    bool endedInOrder = m_settings.keepsWatch && !document && end == WatchEnd::Unchanged;
     if (isNews || endedInOrder)
         watch(std::string(name), now);
     else if (m_settings.keepsWatch && !m_readSince)
-        m_nextRead = std::min(
-            m_nextRead.value_or(Instant::max()), now + m_settings.unavailableBackoff + jitter(m_settings.readJitter));
+        m_nextRead = end == WatchEnd::HistoryGone
+            ? now
+            : std::min(m_nextRead.value_or(Instant::max()),
+                now + m_settings.unavailableBackoff + jitter(m_settings.readJitter));
 }
 
 void ConfigurationSync::offer(const ConfigurationRecord& document)
--- a/src/core/ConfigurationLedger.h
+++ b/src/core/ConfigurationLedger.h
@@ -77,6 +77,13 @@
     bool keepsWatch = false;
 };
 
+// How a watch ended that brought no document.
+enum class WatchEnd : uint8_t {
+    Unchanged, // nothing changed within the patience
+    Failed,
+    HistoryGone, // the store no longer knows what changed since; only a read tells
+};
+
 struct AskPeer {
     std::string peer;
     ConfigurationQuery query;
@@ -107,9 +114,9 @@
     void peerFailed(std::string_view peer, Instant now);
     void storeAnswered(std::span<const ConfigurationRecord> documents, Instant now); // of a read
     void storeFailed(Instant now); // of a read
-    // An empty record: the watch ended without a change, or failed.
-    void watchAnswered(
-        std::string_view name, const std::optional<ConfigurationRecord>&, Instant now, bool hasFailed = false);
+    // Without a record the watch ended as `end` says.
+    void watchAnswered(std::string_view name, const std::optional<ConfigurationRecord>&, Instant now,
+        WatchEnd end = WatchEnd::Unchanged);
     void accepted(const ConfigurationRecord&, Instant now); // it parsed and is in force from now on
     void rejected(const ConfigurationRecord&, Instant now); // it does not parse; the former version stays
     void tick(Instant now); // about every 50 ms
--- a/src/core/FailureEstimator.h
+++ b/src/core/FailureEstimator.h
@@ -46,8 +46,8 @@
 // Whether the executor gives a request back, so that its entry asks another upstream before this one has seen it.
 struct TurnBackPolicy {
     double repeatableLimit = 0.5; // probability above which repeatable requests are given back
-    double onceLimit = 0.35; // above which requests that run at most once are; theirs is the only attempt
-    Duration probeInterval = 700ms; // between two repeatable requests that run in spite of the limit, as probes
+    double onceLimit = 0.45; // above which requests that run at most once are; theirs is the only attempt
+    Duration probeInterval = 3s; // between two repeatable requests that run in spite of the limit, as probes
 };
 
 class TurnBack {
--- a/src/node/AdminServer.h
+++ b/src/node/AdminServer.h
@@ -24,7 +24,7 @@
     uint32_t slots = 1;
     UpstreamState state = UpstreamState::Ready; // cold, ready, draining or gone
     double load = 0; // requests that it runs, by its own count
-    std::string instance; // identity of the process, sent with each request to it; empty: none
+    std::string instance {}; // identity of the process, sent with each request to it; empty: none
     uint64_t bornAt = 0; // start of the process, in milliseconds of its own clock; 0: not told
     uint64_t sequence = 0; // raised with each announcement of a process; 0: not told
     bool operator==(const Announcement&) const = default;
@@ -60,8 +60,8 @@
     // A call in the platform's form; empty optional: none of its calls. Both may be empty.
     std::function<std::optional<Result<LocalCall>>(
         std::string_view method, std::string_view path, std::string_view body)>
-        decode;
-    std::function<Result<void>(const Departure&)> depart;
+        decode {};
+    std::function<Result<void>(const Departure&)> depart {};
 };
 
 // Serves in the thread-default main context of the task that makes it.
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -125,9 +125,9 @@
         m_store->watch(m_form.kind, watch.name, watch.version, watch.patience,
             guarded([this, name = watch.name](const Result<StoredObject>& result) {
                 run([&](Instant now) {
-                    bool hasFailed = !result && result.error().code != ErrorCode::Timeout;
-                    m_sync.watchAnswered(name, result ? toRecord(result.value()) : std::nullopt, now, hasFailed);
-                    tellStore(!hasFailed);
+                    WatchEnd end = result ? WatchEnd::Unchanged : endOf(result.error());
+                    m_sync.watchAnswered(name, result ? toRecord(result.value()) : std::nullopt, now, end);
+                    tellStore(end != WatchEnd::Failed);
                 });
             }));
     }
@@ -156,6 +156,13 @@
         m_hooks.accepted(record);
     }
 
+    static WatchEnd endOf(const Error& error)
+    {
+        if (error.code == ErrorCode::Timeout)
+            return WatchEnd::Unchanged;
+        return error.code == ErrorCode::Unsupported ? WatchEnd::HistoryGone : WatchEnd::Failed;
+    }
+
     void tellStore(bool isReachable)
     {
         if (m_hooks.store)
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -34,7 +34,7 @@
     settings.readPeriod = 30s;
     settings.readTimeout = 1500ms;
     settings.takeOverJitter = 50ms;
-    settings.watchPatience = 4s; // a store that fell silent is noticed after it
+    settings.watchPatience = 1s; // a watch that the store has forgotten stays silent; the next one shows it
     settings.unavailableBackoff = 800ms;
     settings.gatherTime = 300ms;
     return settings;
@@ -664,6 +664,7 @@
     set("store_watching_count", "1 while this node watches the store.", m_role == WatchRole::Watcher ? 1 : 0);
     set("relay_dropped_count", "Relay connections closed because of invalid input.",
         static_cast<double>(m_node->relayDropCount()));
+    set("log_lines_dropped_count", "Log lines dropped since the start.", static_cast<double>(droppedLogLines()));
     return m_metrics.print();
 }
 
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -3,6 +3,7 @@
 #include "core/ClaimLedger.h"
 #include "core/RefusalOutcome.h"
 #include "FleetAuth.h"
+#include "Log.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -74,6 +75,11 @@
     return result;
 }
 
+int64_t millisSince(Instant start)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(currentInstant() - start).count();
+}
+
 uint32_t millisLeft(Instant deadline)
 {
     auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - currentInstant()).count();
@@ -89,6 +95,10 @@
     , m_socket(soup_server_message_get_socket(message))
     , m_requestId(randomId())
 {
+    const char* idName = worker.m_hooks.headers.requestId;
+    const char* id
+        = idName ? soup_message_headers_get_one(soup_server_message_get_request_headers(message), idName) : nullptr;
+    m_publicId = id ? id : toString(m_requestId);
     soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
     soup_message_body_set_accumulate(soup_server_message_get_response_body(message), FALSE);
     g_signal_connect(message, "got-chunk", G_CALLBACK(onGotChunk), this);
@@ -191,6 +201,41 @@
     refuseLocally(RefusalReason::DeadlineExceeded, "entry.deadline");
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Log
+//-----------------------------------------------------------------------------
+
+std::string_view EntryExchange::publicId() const { return m_publicId; }
+
+void EntryExchange::logPlacedAgain(const Refusal& refusal) const
+{
+    log(LogLevel::Info, "request.placed_again",
+        { { "request", publicId() }, { "service", m_head.service }, { "upstream", m_upstream },
+            { "reason", toString(refusal.reason) }, { "step", refusal.step }, { "dispatched", refusal.dispatched },
+            { "upstream_state", toString(refusal.load.state) }, { "failure_percent", refusal.load.failurePercent },
+            { "queued", refusal.load.queued }, { "attempts", m_plan->attempts() },
+            { "elapsed_ms", millisSince(m_startedAt) } });
+}
+
+void EntryExchange::logRefused(const Refusal& refusal) const
+{
+    log(LogLevel::Warning, "request.refused",
+        { { "request", publicId() }, { "service", m_head.service }, { "route", m_head.route },
+            { "upstream", m_upstream }, { "reason", toString(refusal.reason) }, { "step", refusal.step },
+            { "peer", refusal.peer }, { "outcome", toString(refusal.outcome) }, { "dispatched", refusal.dispatched },
+            { "retry_after_ms", refusal.retryAfterMs }, { "attempts", m_plan ? m_plan->attempts() : 0U },
+            { "configuration_digest", m_head.configurationDigest }, { "elapsed_ms", millisSince(m_startedAt) } });
+}
+
+void EntryExchange::logFailedAnswer() const
+{
+    log(LogLevel::Warning, "request.failed_answer",
+        { { "request", publicId() }, { "service", m_head.service }, { "route", m_head.route },
+            { "upstream", m_upstream }, { "status", m_response.status },
+            { "failure_percent", m_response.load.failurePercent }, { "attempts", m_plan->attempts() },
+            { "repeatable", m_match.route->repeatable }, { "elapsed_ms", millisSince(m_startedAt) } });
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Preparation
 //-----------------------------------------------------------------------------
@@ -364,7 +409,7 @@
                 self->refuseLocally(RefusalReason::RelayFailed, "entry.token", {}, 1s);
                 return;
             }
-            nlohmann::ordered_json body { { "token", toString(reply->executor) + "." + toString(reply->operation) },
+                    nlohmann::ordered_json body { { "token", toString(reply->executor) + "." + toString(reply->operation) },
                 { "lifetimeMs", reply->lifetimeMs } };
             self->addCommonHeaders(Outcome::Ran);
             self->respondJson(SOUP_STATUS_OK, body.dump());
@@ -478,6 +523,8 @@
     m_call.reset();
     if (retryFailedAnswer())
         return;
+    if (m_response.status >= firstServerError)
+        logFailedAnswer();
     m_complete = true;
     if (!m_headWritten) {
         writeHead(m_head.method == "HEAD" ? m_response.bodyLength : static_cast<int64_t>(m_held.size()));
@@ -600,6 +647,7 @@
     }
     if (!next)
         return false;
+    logPlacedAgain(refusal);
     m_backlog.insert(0, std::exchange(m_kept, {}));
     sendTo(*next);
     return true;
@@ -695,6 +743,7 @@
         if (refusal.reason != RefusalReason::DeadlineExceeded)
             refusal.reason = RefusalReason::AnswerNotRecorded;
     }
+    logRefused(refusal);
     nlohmann::ordered_json body { { "outcome", toString(refusal.outcome) }, { "dispatched", refusal.dispatched },
         { "reason", toString(refusal.reason) }, { "step", refusal.step }, { "peer", refusal.peer },
         { "runs", refusal.runs }, { "requestId", toString(m_requestId) } };
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -26,6 +26,12 @@
     void callerGone();
     bool isCallerClosed() const;
 
+    // Log lines about decisions; all name the request and what was known.
+    std::string_view publicId() const; // the id that the caller knows
+    void logPlacedAgain(const Refusal&) const;
+    void logRefused(const Refusal&) const;
+    void logFailedAnswer() const;
+
     // Preparation.
     bool findRoute();
     bool readOperation();
@@ -68,6 +74,8 @@
     RequestHead m_head;
     GSocket* m_socket; // names the caller's connection
     Id128 m_requestId;
+    std::string m_publicId;
+    Instant m_startedAt = currentInstant();
     Instant m_deadline = Instant::max();
     std::shared_ptr<RelayCall> m_call;
     std::string m_upstream; // of the current attempt
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -116,6 +116,11 @@
 }
 
 void ExecutorBase::refuseWaiting(LocalUpstream& upstream)
+{
+    giveBackWaiting(upstream, refusalOf(upstream.endpoint.state), "executor.upstream");
+}
+
+void ExecutorBase::giveBackWaiting(LocalUpstream& upstream, RefusalReason reason, const char* step)
 {
     Instant now = currentInstant();
     auto waiting = std::move(upstream.waiting);
@@ -123,7 +128,7 @@
     for (const auto& [ticket, job] : waiting)
         upstream.queue->cancel(ticket, now);
     for (const auto& [ticket, job] : waiting)
-        job->refuse(refusalOf(upstream.endpoint.state), "executor.upstream");
+        job->refuse(reason, step);
 }
 
 void ExecutorBase::onRequest(std::shared_ptr<RelayExchange> exchange)
@@ -192,7 +197,12 @@
 {
     m_draining = true;
     m_drained = std::move(done);
-    if (m_jobs.empty()) {
+    // What waits here has not been seen by an upstream: its entry still has time to ask another one. Run here, it
+    // could be cut off when the drain limit ends this process.
+    auto upstreams = m_settings.drainLimit > Duration {} ? m_upstreams : decltype(m_upstreams) {};
+    for (const auto& [name, upstream] : upstreams)
+        giveBackWaiting(*upstream, RefusalReason::Draining, "executor.drain");
+    if (m_jobs.empty() && m_drained) {
         m_server.close();
         m_task.post(std::exchange(m_drained, nullptr));
     }
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -21,7 +21,7 @@
     std::string address; // "ip:port"
     uint32_t slots = 1;
     UpstreamState state = UpstreamState::Ready;
-    std::string instance; // identity that requests are sent to; another process at the address refuses. Empty: any
+    std::string instance {}; // identity that requests are sent to; another process at the address refuses. Empty: any
 };
 
 //-----------------------------------------------------------------------------
@@ -189,7 +189,8 @@
     void onRequest(std::shared_ptr<RelayExchange>);
     void onToken(TokenQuery&&, std::function<void(TokenReply)>);
     void configure(LocalUpstream&); // its queue, from the announcement and the service
-    void refuseWaiting(LocalUpstream&);
+    void refuseWaiting(LocalUpstream&); // for the state of the upstream
+    void giveBackWaiting(LocalUpstream&, RefusalReason, const char* step);
     void pump(const std::shared_ptr<LocalUpstream>&); // dispatches waiting requests, refuses expired ones
     void sweep();
     void remove(const std::shared_ptr<ExecutorJob>&);
--- a/src/node/Log.cpp
+++ b/src/node/Log.cpp
@@ -1,9 +1,13 @@
 #include "Log.h"
 
 #include <atomic>
+#include <climits>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace Gooseberrymill {
 
@@ -37,11 +41,55 @@
         std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
 }
 
-void writeLine(const Line& line)
+// Bounds the lines of a second over all threads.
+class LineBudget {
+public:
+    bool take()
+    {
+        auto second
+            = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch())
+                  .count();
+        std::lock_guard lock(m_mutex);
+        if (second != m_second) {
+            m_second = second;
+            m_lines = 0;
+        }
+        return ++m_lines <= maxLinesPerSecond;
+    }
+
+private:
+    static constexpr uint32_t maxLinesPerSecond = 200;
+    std::mutex m_mutex;
+    int64_t m_second = 0;
+    uint32_t m_lines = 0;
+};
+
+std::atomic<uint64_t> droppedLines { 0 };
+std::atomic<uint64_t> reportedDrops { 0 }; // of droppedLines, told in a line
+
+bool isWritable()
+{
+    pollfd descriptor { STDOUT_FILENO, POLLOUT, 0 };
+    return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT);
+}
+
+void writeLine(Line& line)
 {
-    // One call writes the whole line, so that lines of several threads do not mix.
-    std::string text = line.dump(-1, ' ', false, Line::error_handler_t::replace) + "\n";
-    std::fwrite(text.data(), 1, text.size(), stderr);
+    static LineBudget budget;
+    if (!budget.take() || !isWritable()) {
+        ++droppedLines;
+        return;
+    }
+    uint64_t dropped = droppedLines;
+    if (uint64_t told = reportedDrops.exchange(dropped); told < dropped)
+        line["lines_dropped"] = dropped - told;
+    // One call writes the whole line, so that lines of several threads do not mix. A pipe that is writable takes
+    // PIPE_BUF bytes without blocking.
+    std::string text = line.dump(-1, ' ', false, Line::error_handler_t::replace);
+    text.resize(std::min<size_t>(text.size(), PIPE_BUF - 1));
+    text += '\n';
+    if (write(STDOUT_FILENO, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
+        ++droppedLines;
 }
 
 } // namespace
@@ -76,6 +124,8 @@
 {
 }
 
+uint64_t droppedLogLines() { return droppedLines; }
+
 void setLogLevel(LogLevel level) { minimumLevel = level; }
 
 std::optional<LogLevel> parseLogLevel(std::string_view text)
--- a/src/node/Log.h
+++ b/src/node/Log.h
@@ -1,4 +1,7 @@
-// JSON-line log on standard error, one object a line.
+// JSON-line log on standard output, one object a line.
+//
+// Writing never blocks: a line that the reader has no room for, or beyond the bound a second, is dropped, and the next
+// line written says how many were.
 #pragma once
 
 #include "core/Basics.h"
@@ -28,6 +31,9 @@
     }
 };
 
+// Lines dropped since the start, because of the bound or of a reader that stopped. May be called from any thread.
+uint64_t droppedLogLines();
+
 // Lines below this level are dropped. Set once, before threads start.
 void setLogLevel(LogLevel);
 std::optional<LogLevel> parseLogLevel(std::string_view); // "debug", "info", "warning", "error"
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -10,6 +10,13 @@
 
 namespace Gooseberrymill {
 
+namespace {
+
+// With a directory nobody tells entries that a node is back, so they try again soon.
+constexpr Duration maxRelayBackoff = 2s;
+
+} // namespace
+
 void runOn(Task& task, std::function<void()> function)
 {
     std::promise<void> done;
@@ -67,8 +74,14 @@
         worker.task = std::make_unique<Task>(fmt::format("entry-{}", i), Task::Thread::New);
         worker.task->start();
         runOn(*worker.task, [&] {
+            BalancerOptions options;
+            if (m_settings.discovery == Discovery::Store) {
+                options.asksRegionFirst = true;
+                options.maxPathBackoff = maxRelayBackoff;
+            }
             worker.entry = std::make_unique<EntryServer<Balancer>>(*worker.task, m_settings, m_identity,
-                m_makeEntryHooks ? m_makeEntryHooks() : EntryHooks {}, Balancer(m_settings.location, randomId().low));
+                m_makeEntryHooks ? m_makeEntryHooks() : EntryHooks {},
+                Balancer(m_settings.location, randomId().low, options));
             auto port = worker.entry->listen(m_settings.callerListen.host, m_callerPort);
             if (port)
                 m_callerPort = port.value();
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -58,7 +58,7 @@
         Answer<TokenQuery, TokenReply> token;
         Answer<ConfigurationQuery, ConfigurationReply> configuration;
         Answer<CrashNotice, CrashNoticeReply> crashes;
-        Answer<DirectoryNotice, DirectoryReply> directory;
+        Answer<DirectoryNotice, DirectoryReply> directory {};
     };
 
     RelayServer(GMainContext*, RelayIdentity, Handlers);
--- a/tests/AttemptPlanTests.cpp
+++ b/tests/AttemptPlanTests.cpp
@@ -54,6 +54,33 @@
     }
 }
 
+// Guards against retries being spent on requests that no upstream has seen, and against a request that one upstream
+// after the other is asked for without end.
+BOOST_AUTO_TEST_CASE(turnBacksCostNoRetryAndAreBounded)
+{
+    uint32_t retries = 0;
+    AttemptPlan plan(
+        false, 2, [&] { return ++retries, false; }, 3);
+    uint32_t asked = 1;
+    plan.started("0");
+    while (plan.mayRetry(false, RefusalReason::Degraded, true))
+        plan.started(std::to_string(asked++));
+    BOOST_TEST(asked == 5U);
+    BOOST_TEST(retries == 0U);
+}
+
+// Guards against more arrivals at upstreams than the budget allows: an upstream that sheds a request has seen it.
+BOOST_AUTO_TEST_CASE(shedRequestsCostRetries)
+{
+    bool isFunded = true;
+    AttemptPlan plan(
+        false, 2, [&] { return std::exchange(isFunded, false); }, 3);
+    plan.started("a");
+    BOOST_TEST(plan.mayRetry(false, RefusalReason::UpstreamShed, true));
+    plan.started("b");
+    BOOST_TEST(!plan.mayRetry(false, RefusalReason::UpstreamShed, true));
+}
+
 // Guards against several executors writing the claims of one shard, whose conditional writes then conflict.
 BOOST_AUTO_TEST_CASE(operationsOfAShardShareTheirAffinity)
 {
--- a/tests/ConfigurationLedgerTests.cpp
+++ b/tests/ConfigurationLedgerTests.cpp
@@ -545,3 +545,46 @@
     BOOST_TEST(isolated[WatchRole::Watcher] == maxWatcherRank);
     BOOST_TEST(isolated[WatchRole::Poller] == n - maxWatcherRank);
 }
+
+namespace {
+
+size_t countReads(const std::vector<SyncAction>& actions)
+{
+    return static_cast<size_t>(
+        std::ranges::count_if(actions, [](const SyncAction& it) { return std::holds_alternative<ReadStore>(it); }));
+}
+
+} // namespace
+
+// Guards against a change that is missed for seconds because the store forgot its history while a watch waited: the
+// next watch shows it, and then only a read tells what changed.
+BOOST_AUTO_TEST_CASE(lostHistoryIsFollowedByARead)
+{
+    ConfigurationSyncSettings settings;
+    settings.keepsWatch = true;
+    settings.readPeriod = 30s;
+    for (WatchEnd end : { WatchEnd::Unchanged, WatchEnd::Failed, WatchEnd::HistoryGone }) {
+        Instant now(1000s);
+        ConfigurationSync sync(settings, 1, now);
+        sync.roleChanged(WatchRole::Watcher, now);
+        ConfigurationRecord document;
+        document.name = "main";
+        document.version = 7;
+        sync.storeAnswered(std::span(&document, 1), now);
+        now += 2s;
+        sync.tick(now);
+        sync.accepted(document, now);
+        sync.takeActions();
+        sync.watchAnswered("main", std::nullopt, now, end);
+        std::vector<SyncAction> actions = sync.takeActions();
+        bool watchesAgain
+            = std::ranges::any_of(actions, [](const SyncAction& it) { return std::holds_alternative<WatchStore>(it); });
+        BOOST_TEST(watchesAgain == (end == WatchEnd::Unchanged));
+        sync.tick(now);
+        BOOST_TEST(countReads(sync.takeActions()) == (end == WatchEnd::HistoryGone ? 1U : 0U));
+        if (end == WatchEnd::HistoryGone)
+            continue; // the read is under way
+        sync.tick(now + settings.unavailableBackoff + settings.readJitter);
+        BOOST_TEST(countReads(sync.takeActions()) == (end == WatchEnd::Failed ? 1U : 0U));
+    }
+}
--- /dev/null
+++ b/tests/PlatformAdapterTests.cpp
@@ -0,0 +1,156 @@
+// What the platform says, decoded into the project's types; and that its names stay in the adapter's folder.
+#define BOOST_TEST_MODULE PlatformAdapter
+#include "node/PlatformAdapter.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace Gooseberrymill;
+
+namespace {
+
+const PlatformAdapter& mesh() { return *findPlatformAdapter("mesh"); }
+
+std::optional<Announcement> heartbeat(std::string_view body, std::string_view path = "/v1/Instances.Heartbeat/i-1")
+{
+    auto call = mesh().decodeCall("POST", path, body);
+    BOOST_REQUIRE(call);
+    if (!*call)
+        return std::nullopt;
+    const auto* announcement = std::get_if<Announcement>(&call->value());
+    return announcement ? std::optional(*announcement) : std::nullopt;
+}
+
+constexpr std::string_view goodBeat = R"({"address":"10.0.0.9:8080","born":1700000000000,
+    "info":{"service":"huvo","version":"v1","zone":"a","slots":4},
+    "status":{"state":"ready","seq_no":4,"cold_left":"0ms"}})";
+
+constexpr std::string_view goodConfiguration = R"({"version":"r7","routes":{
+    "r-a":{"host":"Jepu9.example","path_prefix":"/lepu/","kind":"safe","timeout":"6000ms","priority":2,
+        "weighted_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2},
+    "r-b":{"host":"hulo.example","path_prefix":"/x/","kind":"unsafe","timeout":"8s","priority":1,"service":"s2",
+        "max_attempts":3}},
+    "services":{"s1":{"health_path":"/health","max_conns":330},"s2":{"health_path":"/health","max_conns":330}},
+    "limits":{"max_header_bytes":16384,"max_body_bytes":67108864}})";
+
+} // namespace
+
+// Guards against an upstream that is known under wrong slots, state or identity.
+BOOST_AUTO_TEST_CASE(decodesHeartbeats)
+{
+    auto announcement = heartbeat(goodBeat);
+    BOOST_REQUIRE(announcement);
+    BOOST_TEST(announcement->instance == "i-1");
+    BOOST_TEST(announcement->service == "huvo");
+    BOOST_TEST(announcement->address == "10.0.0.9:8080");
+    BOOST_TEST(announcement->slots == 4U);
+    BOOST_TEST(announcement->sequence == 4U);
+    BOOST_TEST(announcement->bornAt == 1'700'000'000'000U);
+    BOOST_TEST((announcement->state == UpstreamState::Ready));
+}
+
+// Guards against a heartbeat of another writer that names an upstream to use.
+BOOST_AUTO_TEST_CASE(refusesHeartbeatsOfAnotherForm)
+{
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>> {
+             { R"("slots":4)", R"("slots":"4")" }, { R"("slots":4)", R"("slots":0)" },
+             { R"("slots":4)", R"("slots":-4)" }, { R"("state":"ready")", R"("state":"happy")" },
+             { R"("seq_no":4,)", "" }, { R"("service":"huvo")", R"("service":7)" }, { R"("status":)", R"("other":)" },
+             { "{\"address\"", "\xff\xfe" } }) {
+        std::string body(goodBeat);
+        size_t position = body.find(from);
+        BOOST_REQUIRE(position != std::string::npos);
+        body.replace(position, from.size(), to);
+        BOOST_TEST(!heartbeat(body), body);
+    }
+    BOOST_TEST(!heartbeat(goodBeat, "/v1/Instances.Heartbeat/"));
+}
+
+// Guards against a route that is matched, repeated or shared out otherwise than the operator wrote it.
+BOOST_AUTO_TEST_CASE(decodesTheOperatorsConfiguration)
+{
+    auto object = mesh().configuration.parseObject(goodConfiguration);
+    BOOST_REQUIRE(object);
+    BOOST_TEST(object.value().changeId == "r7");
+    auto parsed = mesh().configuration.parseText(object.value().text, "main");
+    BOOST_REQUIRE(parsed.value);
+    RouteTable table({ std::make_shared<const Configuration>(*parsed.value) });
+    auto split = table.match("GET", "/lepu/2f", "jepu9.example:80");
+    BOOST_REQUIRE(split);
+    BOOST_TEST(split->route->repeatable);
+    BOOST_TEST(split->route->maxAttempts == 2U);
+    BOOST_TEST((split->route->deadline == 6s));
+    BOOST_TEST((split->route->workClass == WorkClass::Patient));
+    BOOST_TEST(split->route->split.size() == 2U);
+    auto order = table.match("POST", "/x/1", "hulo.example");
+    BOOST_REQUIRE(order);
+    BOOST_TEST(!order->route->repeatable);
+    BOOST_TEST(order->service->name == "s2");
+    BOOST_TEST(order->route->maxBodyBytes == 67'108'864U);
+    BOOST_TEST(!table.match("GET", "/lepu/2f", "hulo.example"));
+}
+
+// Guards against a configuration taken for valid although a route leads nowhere, which would drop the route.
+BOOST_AUTO_TEST_CASE(refusesConfigurationsThatNameNoService)
+{
+    std::string text(goodConfiguration);
+    text.replace(text.find(R"("service":"s2")"), 14, R"("service":"s9")");
+    BOOST_TEST(!mesh().configuration.parseText(text, "main").value);
+    BOOST_TEST(!mesh().configuration.parseText("[]", "main").value);
+    BOOST_TEST(!mesh().configuration.parseObject("{}"));
+}
+
+// Guards against writes without their condition, and against answers of the store read as another outcome.
+BOOST_AUTO_TEST_CASE(speaksToTheStore)
+{
+    const StoreDialect& store = mesh().store;
+    StoreCall call { StoreVerb::Create, "nodes-north", "n1", R"({"a":1})", 0, {}, {} };
+    StoreHttpRequest request = store.encode(call);
+    BOOST_TEST(request.method == std::string("POST"));
+    BOOST_TEST(request.target == "/v1/objects/nodes-north");
+    BOOST_TEST(request.body == R"({"metadata":{"name":"n1"},"spec":{"a":1}})");
+    call.verb = StoreVerb::Replace;
+    call.version = 412;
+    BOOST_TEST(store.encode(call).target == "/v1/objects/nodes-north/n1");
+    BOOST_TEST(store.encode(call).body.find("\"revision\":412") != std::string::npos);
+    BOOST_TEST((store.errorOf(StoreVerb::Replace, 409) == ErrorCode::Conflict));
+    BOOST_TEST((store.errorOf(StoreVerb::Replace, 503) == ErrorCode::Unavailable));
+    BOOST_TEST((store.errorOf(StoreVerb::Replace, 500) == ErrorCode::AnswerLost));
+    BOOST_TEST((store.errorOf(StoreVerb::Watch, 410) == ErrorCode::Unsupported));
+    StoreCall watch { StoreVerb::Watch, "config", "main", {}, 530, 20s, {} };
+    BOOST_TEST(store.encode(watch).target == "/v1/objects/config?watch=530&wait_ms=20000");
+    auto page = store.decodePage(watch,
+        { 200, "",
+            R"({"events":[{"deleted":false,"object":{"metadata":{"name":"main","revision":531},"spec":{"v":1}}},
+                {"deleted":false,"object":7}],"store_revision":533})" });
+    BOOST_REQUIRE(page);
+    BOOST_TEST(page->revision == 533U);
+    BOOST_REQUIRE(page->objects.size() == 1U);
+    BOOST_TEST(page->objects[0].version == 531U);
+    BOOST_TEST(page->objects[0].value == R"({"v":1})");
+    BOOST_TEST(!store.decodePage(watch, { 200, "", "no JSON" }));
+}
+
+// Guards against names of the platform that spread into the product, which would have to follow each change of them.
+BOOST_AUTO_TEST_CASE(namesOfThePlatformStayInTheAdapter)
+{
+    const std::vector<std::string> names { "Attempt-Id", "Deadline-Ms\"", "Expected-Instance\"", "Server-Load",
+        "Not-Executed", "Response-Signature", "Instances.Heartbeat", "store_revision", "weighted_split", "app_addr",
+        "cold_left", "seq_no", "beat_addr", "path_prefix" };
+    size_t files = 0;
+    for (const auto& entry : std::filesystem::recursive_directory_iterator(std::string(GM_SOURCE_DIR) + "/src")) {
+        if (!entry.is_regular_file())
+            continue;
+        ++files;
+        std::stringstream text;
+        text << std::ifstream(entry.path()).rdbuf();
+        for (const std::string& name : names) {
+            bool isOwn = text.str().find("Gooseberrymill-" + name) != std::string::npos;
+            BOOST_TEST((isOwn || text.str().find(name) == std::string::npos), entry.path().string() + ": " + name);
+        }
+    }
+    BOOST_TEST(files > 100U);
+}
--- a/tests/Processes.h
+++ b/tests/Processes.h
@@ -54,12 +54,12 @@
     ObjectHandle<GSubprocess> m_process;
 };
 
-// A program that logs "listening" on standard error and stops on SIGTERM.
+// A program that logs "listening" on standard output and stops on SIGTERM.
 class Server {
 public:
     explicit Server(const std::vector<std::string>& arguments)
-        : m_process(startProcess(arguments, G_SUBPROCESS_FLAGS_STDERR_PIPE))
-        , m_lines(g_data_input_stream_new(g_subprocess_get_stderr_pipe(m_process.get())))
+        : m_process(startProcess(arguments, G_SUBPROCESS_FLAGS_STDOUT_PIPE))
+        , m_lines(g_data_input_stream_new(g_subprocess_get_stdout_pipe(m_process.get())))
     {
         while (listening.is_null()) {
             char* line = g_data_input_stream_read_line(m_lines.get(), nullptr, nullptr, nullptr);
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -271,7 +271,7 @@
     BOOST_TEST((decodeForged(std::variant_size_v<RelayMessage> + 1, flag) == ErrorCode::Malformed));
     BOOST_TEST((decodeForged(0, flag) == ErrorCode::Malformed));
     std::string refusal = flag + std::string(16, '\0') + '\x07'; // outcome 7
-    refusal += std::string(1 + 4 + 4 + 1 + 8 + 8 + 16 + 12 + 1, '\0');
+    refusal += std::string(1 + 4 + 4 + 1 + 8 + 8 + 16 + 12 + 1 + 1, '\0');
     BOOST_TEST((decodeForged(6, refusal) == ErrorCode::Malformed));
     refusal[17] = 0;
     Pair pair;
--- a/tests/RetryBudgetTests.cpp
+++ b/tests/RetryBudgetTests.cpp
@@ -191,3 +191,39 @@
         budgets.of(narrow).offered(at(1s));
     BOOST_TEST(budgets.of(narrow).take(at(1s)));
 }
+
+// Guards against a constant part that grows without bound: the fleet's bound holds in every window of 10 s when each
+// of its nodes takes its part of half of it, also after a quiet time in which tokens were saved.
+BOOST_AUTO_TEST_CASE(burstKeepsTheBoundOfTheFleet)
+{
+    constexpr uint32_t nodes = 36;
+    constexpr double share = 0.2;
+    constexpr double slack = 58;
+    constexpr int64_t windowSeconds = 10;
+    std::vector<RetryBudget> budgets(nodes, RetryBudget(share / 2));
+    std::vector<uint32_t> taken(100);
+    std::vector<uint32_t> offered(100);
+    for (int64_t second = 0; second < 100; ++second) {
+        for (RetryBudget& budget : budgets) {
+            budget.setBurst(slack / 2 / nodes);
+            bool isBusy = second > 30;
+            for (uint32_t i = 0; isBusy && i < 2; ++i) {
+                budget.offered(at(std::chrono::seconds(second)));
+                ++offered[static_cast<size_t>(second)];
+                taken[static_cast<size_t>(second)] += budget.take(at(std::chrono::seconds(second))) ? 1 : 0;
+            }
+        }
+    }
+    uint32_t total = 0;
+    for (size_t start = 0; start + windowSeconds <= taken.size(); ++start) {
+        uint32_t retries = 0;
+        uint32_t requests = 0;
+        for (size_t i = start; i < start + windowSeconds; ++i) {
+            retries += taken[i];
+            requests += offered[i];
+        }
+        total += retries;
+        BOOST_TEST(retries <= share * requests + slack);
+    }
+    BOOST_TEST(total > 0U);
+}
--- a/tests/RouteTableTests.cpp
+++ b/tests/RouteTableTests.cpp
@@ -68,3 +68,43 @@
     BOOST_REQUIRE(table.service("archivo"));
     BOOST_TEST(!table.service("banco"));
 }
+
+// Guards against a request of one host being served by the route of another, which ends at the wrong service.
+BOOST_AUTO_TEST_CASE(separatesRoutesByHost)
+{
+    Route shop = makeRoute("shop", "/a/*");
+    shop.host = "shop.example";
+    Route deep = makeRoute("deep", "/a/b/*");
+    deep.host = "other.example";
+    RouteTable table = makeTable({ shop, deep, makeRoute("any", "/*") });
+    auto nameOf = [&](std::string_view target, std::string_view host) {
+        auto match = table.match("GET", target, host);
+        return match ? match->route->name : "";
+    };
+    BOOST_TEST(nameOf("/a/b/c", "shop.example") == "shop");
+    BOOST_TEST(nameOf("/a/b/c", "OTHER.example:8080") == "deep");
+    BOOST_TEST(nameOf("/a/b/c", "unknown.example") == "any");
+    BOOST_TEST(nameOf("/a/b/c", "") == "any");
+}
+
+// Guards against shares that differ from the weights, and against a part that its executor has no route for.
+BOOST_AUTO_TEST_CASE(sharesRequestsByWeight)
+{
+    auto document = std::make_shared<Configuration>();
+    for (const char* name : { "first", "second" })
+        document->services.emplace_back().name = name;
+    Route split = makeRoute("split", "/s/*");
+    split.split = { { "first", 90 }, { "second", 10 } };
+    document->services[0].routes = { split };
+    addSplitTargets(*document);
+    RouteTable table({ document });
+    auto match = table.match("GET", "/s/1");
+    BOOST_REQUIRE(match);
+    size_t second = 0;
+    for (uint64_t draw = 0; draw < 1000; ++draw) {
+        RouteTable::Match drawn = table.drawSplit(*match, draw);
+        BOOST_REQUIRE(drawn.route->name == "split");
+        second += drawn.service->name == "second";
+    }
+    BOOST_TEST(second == 100U);
+}
