Wait a second for an executor that the entry does not know yet; tell nodes that may have restarted

The entry now looks for it for 1 s before it calls it gone. Test: DataPathTests/entryWaitsForAnExecutorThatItDoesNotKnowYet.

--- a/src/core/NodeDirectory.h
+++ b/src/core/NodeDirectory.h
@@ -69,6 +69,15 @@
         }
     }
 
+    // Nodes that left a short time ago. One that restarts while the store is away knows nobody, so it is told.
+    template <typename Function> void forEachLeft(Function function) const
+    {
+        for (const auto& [name, entry] : m_records) {
+            if (entry.record.status == NodeStatus::Left)
+                function(entry.record);
+        }
+    }
+
     // Candidates of all services, sorted as the balancer needs them.
     CandidateList candidates() const;
 
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -388,6 +388,17 @@
         tell(peer, records);
 }
 
+void DirectoryControl::tellRestarted()
+{
+    std::vector<NodeRecord> left;
+    m_directory->forEachLeft([&](const NodeRecord& it) {
+        if (it.location.region == m_settings.location.region)
+            left.push_back(it);
+    });
+    for (const NodeRecord& peer : left)
+        tell(peer, {});
+}
+
 void DirectoryControl::tellOtherRegions()
 {
     std::map<std::string, std::vector<const NodeRecord*>> regions;
@@ -396,6 +407,7 @@
             regions[it.location.region].push_back(&it);
     });
     std::vector<NodeRecord> chosen;
+    chosen.reserve(regions.size());
     for (const auto& [region, nodes] : regions)
         chosen.push_back(*nodes[m_random() % nodes.size()]);
     for (const NodeRecord& peer : chosen)
@@ -445,7 +457,7 @@
     if (!isLost || !isOther || m_role != WatchRole::Watcher)
         return;
     const NodeRecord* record = m_directory->find(peer);
-    if (!record)
+    if (!record || record->status == NodeStatus::Left)
         return;
     NodeRecord lost = *record;
     log(LogLevel::Warning, "node.lost",
@@ -484,6 +496,7 @@
     if (m_role == WatchRole::Watcher && now >= m_nextNotice) {
         m_nextNotice = now + noticePeriod;
         tellRegion({});
+        tellRestarted();
     } else if (m_role != WatchRole::Watcher && isIsolated && now >= m_nextNotice) {
         m_nextNotice = now + isolationTime;
         std::vector<NodeRecord> all = m_directory->records();
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -65,6 +65,7 @@
     // [SECTION] Peers
     void tell(const NodeRecord& peer, std::vector<NodeRecord> records);
     void tellRegion(const std::vector<NodeRecord>& records);
+    void tellRestarted(); // nodes that left lately and may run again
     void tellOtherRegions();
     void onReply(const std::string& peer, const Result<RelayMessage>&);
     DirectoryReply onNotice(const DirectoryNotice&);
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -20,6 +20,7 @@
 constexpr size_t writeLowMark = 64 << 10;
 constexpr uint64_t maxDiscardedBytes = 1 << 20; // of a body that nobody wants, before the caller is cut off
 constexpr uint32_t maxTurnBacks = 6; // executors asked beyond the attempts, each for a round trip to a node
+constexpr Duration executorWait = 1s; // members learn of each other within it
 constexpr guint firstServerError = 500;
 constexpr std::string_view tokenPath = "/.gooseberrymill/token";
 
@@ -196,6 +197,11 @@
         abortCaller();
         return;
     }
+    if (m_again && now < m_deadline) {
+        auto again = std::exchange(m_again, nullptr);
+        again();
+        return;
+    }
     if (now < m_deadline || m_headWritten)
         return;
     refuseLocally(RefusalReason::DeadlineExceeded, "entry.deadline");
@@ -409,7 +415,7 @@
                 self->refuseLocally(RefusalReason::RelayFailed, "entry.token", {}, 1s);
                 return;
             }
-                    nlohmann::ordered_json body { { "token", toString(reply->executor) + "." + toString(reply->operation) },
+            nlohmann::ordered_json body { { "token", toString(reply->executor) + "." + toString(reply->operation) },
                 { "lifetimeMs", reply->lifetimeMs } };
             self->addCommonHeaders(Outcome::Ran);
             self->respondJson(SOUP_STATUS_OK, body.dump());
@@ -427,6 +433,8 @@
     const Candidate* candidate = nullptr;
     if (m_head.executor) {
         candidate = m_worker.findExecutor(m_head.service, m_head.executor);
+        if (!candidate && awaitExecutor([this] { attempt(); }))
+            return;
         if (!candidate) {
             // Only that incarnation knows whether the operation ran.
             Refusal refusal;
@@ -653,10 +661,29 @@
     return true;
 }
 
+// An entry that has just started, or is behind with its members, does not know every live executor yet.
+bool EntryExchange::awaitExecutor(std::function<void()> again)
+{
+    Instant now = currentInstant();
+    if (!m_executorWaitEnd)
+        m_executorWaitEnd = now + executorWait;
+    if (now >= *m_executorWaitEnd)
+        return false;
+    m_again = std::move(again);
+    return true;
+}
+
 bool EntryExchange::followHolder(const Refusal& refusal)
 {
     m_knownToHaveRun = m_knownToHaveRun || refusal.outcome == Outcome::Ran;
     const Candidate* holder = m_worker.findExecutor(m_head.service, refusal.holder);
+    bool mayFollow = !m_followed && m_keepsBody;
+    auto followAgain = [this, refusal] {
+        if (!followHolder(refusal))
+            settleAttempt(Refusal(refusal));
+    };
+    if (mayFollow && !holder && awaitExecutor(followAgain))
+        return true;
     if (std::exchange(m_followed, true) || !holder || !m_keepsBody) {
         Refusal unknown = refusal;
         unknown.outcome = Outcome::Unknown;
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -52,6 +52,8 @@
     bool tryElsewhere(const Refusal&); // false: no upstream is left
     bool retryFailedAnswer(); // false: the answer goes to the caller
     bool followHolder(const Refusal&);
+    // Calls `again` at the next sweep while the time for it lasts. False: the executor is taken for gone.
+    bool awaitExecutor(std::function<void()> again);
     bool mayBeDispatchedAfterHead() const; // when the attempt ends without a response
     bool namesOperation() const;
     void dropCall();
@@ -101,6 +103,8 @@
     bool m_complete = false;
     bool m_answered = false; // a local response was written
     bool m_followed = false;
+    std::function<void()> m_again; // with the next sweep, when this entry may have heard of the executor
+    std::optional<Instant> m_executorWaitEnd;
     bool m_dispatched = false; // an attempt may have reached an upstream
     bool m_knownToHaveRun = false; // the store shows that the operation ran
     bool m_paused = false;
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -486,3 +486,28 @@
         status = HttpCaller(fleet.port()).request("GET", "/read/a").status;
     BOOST_TEST(status == 200);
 }
+
+// Guards against a live executor that is called gone by an entry that has not heard of it yet: the outcome of the
+// operation is then unknown to its caller for no reason.
+BOOST_AUTO_TEST_CASE(entryWaitsForAnExecutorThatItDoesNotKnowYet)
+{
+    FleetOptions options;
+    options.nodes = 2;
+    TestFleet fleet(options);
+    CandidateList all = fleet.candidates();
+    fleet.setCandidates({ all[1] });
+    HttpCaller issuer(fleet.port(1));
+    auto reply = nlohmann::json::parse(issuer.request("POST", "/.gooseberrymill/token?service=shop").body);
+    std::string token = reply["token"];
+    fleet.setCandidates({ all[0] });
+    CallerResponse response;
+    std::thread caller([&] {
+        HttpCaller http(fleet.port(0));
+        response = http.request("POST", "/order/a", { { HeaderName::operationToken, token } }, "body");
+    });
+    std::this_thread::sleep_for(200ms); // for the way to the entry; the test only gets weaker when it is too short
+    fleet.setCandidates(all);
+    caller.join();
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(fleet.upstream(1).count("/order/a") == 1U);
+}
--- a/tests/NodeDirectoryTests.cpp
+++ b/tests/NodeDirectoryTests.cpp
@@ -72,6 +72,9 @@
     directory.markLeft("b", at(2s));
     BOOST_TEST(!directory.merge(left, at(3s)));
     BOOST_TEST(directory.liveCount() == 1U);
+    size_t told = 0;
+    directory.forEachLeft([&](const NodeRecord& it) { told += it.name == "b"; });
+    BOOST_TEST(told == 1U);
     directory.tick(at(2s) + NodeDirectory::tombstoneTime + 1s);
     BOOST_TEST(!directory.find("b"));
 }
