Let the least suspect upstream run what the others gave back; always say when to come back

After the bound the least suspect upstream is asked now. Test: DataPathTests/leastSuspectUpstreamRunsWhatAllGaveBack, with fewer and more upstreams than hops.

--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -20,6 +20,7 @@
 constexpr size_t writeLowMark = 64 << 10;
 constexpr uint64_t maxDiscardedBytes = 1 << 20; // of a body that nobody wants, before the caller is cut off
 constexpr uint32_t maxTurnBacks = 6; // executors asked beyond the attempts, each for a round trip to a node
+constexpr uint32_t temporaryRetryAfterMs = 1000; // some upstream has recovered by then
 constexpr Duration executorWait = 1s; // members learn of each other within it
 constexpr guint firstServerError = 500;
 constexpr std::string_view tokenPath = "/.gooseberrymill/token";
@@ -631,7 +632,13 @@
     bool isHeldKey = m_head.operationKind == OperationKind::Key && refusal.outcome == Outcome::NotRun;
     bool bound = m_head.inquiry || isHeldKey || m_head.operationKind == OperationKind::Token;
     if (bound || !m_plan->mayRetry(refusal.dispatched, refusal.reason, m_keepsBody)) {
-        respondRefusal(refusal);
+        bool isGivenBack = !bound && m_keepsBody && refusal.reason == RefusalReason::Degraded;
+        const Candidate* last = isGivenBack ? leastSuspect() : nullptr;
+        if (last)
+            sendAgain(*last, refusal);
+        else
+            respondRefusal(refusal);
+        updatePause();
         return;
     }
     // The refusal of the last attempt says more than the lack of another upstream.
@@ -645,20 +652,29 @@
     BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
         m_plan->tried() };
     const Candidate* next = m_worker.m_balancer->choose(request, currentInstant());
-    bool wasAskedLast = m_head.isLastChoice;
-    if (!next && !wasAskedLast && refusal.reason == RefusalReason::Degraded && !m_leastSuspect.empty()) {
-        // Every upstream failed lately. The least suspect one still succeeds more often than a refusal.
-        auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
-        auto it = std::ranges::find(candidates, m_leastSuspect, &Candidate::upstream);
-        next = it == candidates.end() ? nullptr : &*it;
-        m_head.isLastChoice = true;
-    }
+    if (!next && refusal.reason == RefusalReason::Degraded)
+        next = leastSuspect();
     if (!next)
         return false;
+    sendAgain(*next, refusal);
+    return true;
+}
+
+// Every upstream that was asked failed lately. The least suspect one still succeeds more often than a refusal does.
+const Candidate* EntryExchange::leastSuspect()
+{
+    if (std::exchange(m_head.isLastChoice, true) || m_leastSuspect.empty() || m_dispatched)
+        return nullptr;
+    auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
+    auto it = std::ranges::find(candidates, m_leastSuspect, &Candidate::upstream);
+    return it == candidates.end() ? nullptr : &*it;
+}
+
+void EntryExchange::sendAgain(const Candidate& next, const Refusal& refusal)
+{
     logPlacedAgain(refusal);
     m_backlog.insert(0, std::exchange(m_kept, {}));
-    sendTo(*next);
-    return true;
+    sendTo(next);
 }
 
 // An entry that has just started, or is behind with its members, does not know every live executor yet.
@@ -770,6 +786,9 @@
         if (refusal.reason != RefusalReason::DeadlineExceeded)
             refusal.reason = RefusalReason::AnswerNotRecorded;
     }
+    bool isTemporary = refusal.reason == RefusalReason::Degraded || refusal.reason == RefusalReason::UpstreamShed;
+    if (refusal.outcome == Outcome::NotRun && isTemporary && !refusal.retryAfterMs)
+        refusal.retryAfterMs = temporaryRetryAfterMs;
     logRefused(refusal);
     nlohmann::ordered_json body { { "outcome", toString(refusal.outcome) }, { "dispatched", refusal.dispatched },
         { "reason", toString(refusal.reason) }, { "step", refusal.step }, { "peer", refusal.peer },
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -50,6 +50,8 @@
     void onCallFailed(const Error&, Outcome);
     void settleAttempt(Refusal&&);
     bool tryElsewhere(const Refusal&); // false: no upstream is left
+    void sendAgain(const Candidate&, const Refusal&);
+    const Candidate* leastSuspect(); // to be asked once more, without leave to give the request back; null: none
     bool retryFailedAnswer(); // false: the answer goes to the caller
     bool followHolder(const Refusal&);
     // Calls `again` at the next sweep while the time for it lasts. False: the executor is taken for gone.
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -511,3 +511,26 @@
     BOOST_TEST(response.status == 200);
     BOOST_TEST(fleet.upstream(1).count("/order/a") == 1U);
 }
+
+// Guards against a refusal while upstreams are there that failed lately: after every one of them gave the request
+// back, the least suspect one runs it.
+BOOST_AUTO_TEST_CASE(leastSuspectUpstreamRunsWhatAllGaveBack)
+{
+    for (size_t nodes : { 2, 12 }) { // fewer and more than an entry asks
+        FleetOptions options;
+        options.nodes = nodes;
+        options.executorHooks.turnsBack = true;
+        TestFleet fleet(options);
+        CandidateList all = fleet.candidates();
+        for (const Candidate& it : all) {
+            fleet.setCandidates({ it });
+            HttpCaller caller(fleet.port());
+            for (int i = 0; i < 3; ++i)
+                caller.request(
+                    "POST", "/order/a", { { "Stand-In-Fault", "status" }, { "Stand-In-Status", "500" } }, "x");
+        }
+        fleet.setCandidates(all);
+        HttpCaller caller(fleet.port());
+        BOOST_TEST(caller.request("POST", "/order/b", {}, "x").status == 200);
+    }
+}
