Read the directory at once when a node joins or restarts

The log shows "no-configuration": nodes waited 600 ms for others to register, stood for election and gathered answers, as at the first start of a fleet. The setting fleet.firstStart tells the two starts apart.

--- a/src/core/UpstreamRegistration.cpp
+++ b/src/core/UpstreamRegistration.cpp
@@ -28,7 +28,8 @@
         return ReportVerdict::Outdated;
     bool isSameProcess = report.bornAt == m_current->bornAt && report.instance == m_current->instance;
     // A restarted process may keep its identity; its start time tells it apart, and its sequence begins anew.
-    if (report.bornAt == m_current->bornAt && (!isSameProcess || report.sequence <= m_current->sequence))
+    bool isOld = report.sequence && report.sequence <= m_current->sequence;
+    if (report.bornAt == m_current->bornAt && (!isSameProcess || isOld))
         return ReportVerdict::Outdated;
     bool wasDraining = isSameProcess && m_current->state == UpstreamState::Draining;
     m_current = report;
--- a/src/core/UpstreamRegistration.h
+++ b/src/core/UpstreamRegistration.h
@@ -12,7 +12,7 @@
     std::string service;
     std::string address; // "ip:port"
     uint64_t bornAt = 0; // start of the process, in milliseconds of its clock
-    uint64_t sequence = 0; // raised with each announcement of a process
+    uint64_t sequence = 0; // raised with each announcement of a process; 0: not told, the order of arrival counts
     uint32_t slots = 1;
     UpstreamState state = UpstreamState::Ready; // cold, ready or draining
 };
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -36,7 +36,7 @@
     settings.takeOverJitter = 50ms;
     settings.watchPatience = 1s; // a watch that the store has forgotten stays silent; the next one shows it
     settings.unavailableBackoff = 800ms;
-    settings.gatherTime = 300ms;
+    settings.gatherTime = 0s; // a later answer raises the version; waiting would refuse requests
     return settings;
 }
 
@@ -112,6 +112,8 @@
     if (auto error = startServers())
         return error;
     registerNode();
+    m_nextRegionRead = m_startedAt + (m_settings.isFirstStart ? registrationWait : Duration {});
+    readOwnRegion(currentInstant());
     m_timer = m_task.every(tickPeriod, [this] {
         tick();
         return true;
@@ -330,11 +332,21 @@
         }
         if (m_directory->mergeAll(records, currentInstant()))
             directoryChanged();
+        m_isRegionKnown = m_isRegionKnown || isOwn;
         if (isOwn)
             tellRegion({ m_directory->self() });
     });
 }
 
+void DirectoryControl::readOwnRegion(Instant now)
+{
+    if (m_isStopping || m_hasRegion || now < m_nextRegionRead)
+        return;
+    m_hasRegion = true;
+    m_nextRegionRead = now + storeRetryPeriod;
+    readRegion(m_settings.location.region);
+}
+
 void DirectoryControl::readOtherRegions()
 {
     m_hasOtherRegions = true;
@@ -522,11 +534,7 @@
     m_directory->tick(now);
     if (!m_isStopping && !m_isRegistering && !m_recordVersion && now >= m_nextStoreTry)
         registerNode();
-    if (!m_isStopping && !m_hasRegion && now - m_startedAt >= registrationWait && now >= m_nextStoreTry) {
-        m_hasRegion = true;
-        m_nextStoreTry = now + storeRetryPeriod;
-        readRegion(m_settings.location.region);
-    }
+    readOwnRegion(now);
     refreshRole(now);
     if (m_role == WatchRole::Watcher && !m_hasOtherRegions && now >= m_nextStoreTry) {
         m_nextStoreTry = now + storeRetryPeriod;
@@ -540,7 +548,7 @@
 
 void DirectoryControl::refreshRole(Instant now)
 {
-    bool isAlone = now - m_startedAt < registrationWait * 2 && !m_hasRegion;
+    bool isAlone = now - m_startedAt < registrationWait * 2 && !m_isRegionKnown;
     bool standsBack = now < m_storeRetryAt && !m_election.isFirst(*m_directory, now);
     bool shouldWatch = !m_isStopping && !isAlone && !standsBack && m_election.shouldWatch(*m_directory, now);
     WatchRole role = shouldWatch ? WatchRole::Watcher : WatchRole::None;
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -59,6 +59,7 @@
     void registerNode();
     void replaceRecord();
     void readRegion(const std::string& region);
+    void readOwnRegion(Instant now); // unless it was read, at the times meant for it
     void readOtherRegions();
     void removeRecord(const std::string& region, const std::string& node);
 
@@ -107,7 +108,9 @@
     Instant m_storeRetryAt {}; // a watcher that the store turned away stands back until then
     uint64_t m_recordVersion = 0; // of the own record in the store; 0: not written yet
     bool m_isRegistering = false;
-    bool m_hasRegion = false; // the records of the own region were read
+    bool m_hasRegion = false; // the records of the own region were read, or are being read
+    bool m_isRegionKnown = false; // they were read
+    Instant m_nextRegionRead {};
     bool m_hasOtherRegions = false;
     Instant m_nextStoreTry {};
     Instant m_nextNotice {};
--- a/src/node/Settings.h
+++ b/src/node/Settings.h
@@ -44,6 +44,7 @@
     // [fleet]
     std::string fleetKey; // shared secret of all nodes, at least 16 characters
     Discovery discovery = Discovery::Gossip;
+    bool isFirstStart = true; // of the whole fleet; otherwise the store already holds the records of other nodes
     std::vector<Location> dataCentres; // of the whole fleet, for Discovery::Store
     std::vector<std::string> seeds; // gossip addresses "ip:port" to join through
 
--- a/src/node/SettingsFile.cpp
+++ b/src/node/SettingsFile.cpp
@@ -141,6 +141,8 @@
     section.text("key", settings.fleetKey, keyRule, Presence::Required, "Secret shared by all nodes of the fleet.");
     section.coded("discovery", settings.discovery, discoveryForm, Presence::Optional,
         "How nodes find each other: gossip, through seeds, or store, through a directory in the object store.");
+    section.flag("firstStart", settings.isFirstStart,
+        "Whether the whole fleet starts for the first time; otherwise the directory in the store is read at once.");
     section.textList("seeds", settings.seeds, addressRule, maxSeeds, "Gossip addresses of nodes to join through.");
     section.sections("dataCentre", settings.dataCentres, maxDataCentres, [](auto& item, Location& location) {
         item.text("name", location.dataCentre, nameRule, Presence::Required, "Name of a data centre of the fleet.");
