Test the directory in the store with real processes; one copy of the status of a node

DirectoryProcessTests: three nodes with discovery through the store stand-in serve each other's callers, also when an upstream is killed; a node that restarts while the store refuses connections is told by its peers.

--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include "core/RetryBudget.h"
+#include "NodeRecordJson.h"
 
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -28,18 +29,6 @@
 
 std::string objectName(const std::string& dataCentre) { return dataCentre.empty() ? "default" : dataCentre; }
 
-Json toJson(const NodeRecord& record)
-{
-    Json upstreams = Json::array();
-    for (const UpstreamRecord& it : record.upstreams) {
-        upstreams.push_back({ { "name", it.name }, { "service", it.service }, { "slots", it.slots },
-            { "state", toString(it.state) }, { "severity", it.severity }, { "share", it.share } });
-    }
-    return { { "name", record.name }, { "incarnation", toString(record.incarnation) },
-        { "status", toString(record.status) }, { "region", record.location.region },
-        { "dataCentre", record.location.dataCentre }, { "relay", record.relayAddress }, { "upstreams", upstreams } };
-}
-
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -590,7 +579,7 @@
     for (const ConfigurationRecord& record : m_configuration->ledger().held())
         documents.push_back({ { "name", record.name }, { "version", record.version } });
     Json members = Json::array();
-    m_membership->forEach([&](const NodeRecord& record) { members.push_back(toJson(record)); });
+    m_membership->forEach([&](const NodeRecord& record) { members.push_back(toStatusJson(record)); });
     Json status { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
         { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() },
         { "ready", m_configuration->isReady() }, { "stopping", m_isStopping }, { "configuration", documents },
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -2,6 +2,7 @@
 
 #include "core/RetryBudget.h"
 #include "Log.h"
+#include "NodeRecordJson.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
@@ -120,8 +121,8 @@
     });
     log(LogLevel::Info, "node.started",
         { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
-            { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() },
-            { "service", m_settings.upstreamService } });
+            { "callers", m_node->callerPort() }, { "relay", m_node->relayAddress() }, { "admin", m_adminPort },
+            { "gossip", "" }, { "service", m_settings.upstreamService } });
     return std::nullopt;
 }
 
@@ -145,8 +146,11 @@
     }
     for (const ListenAddress& address : addresses) {
         auto server = std::make_unique<AdminServer>(adminCallbacks());
-        if (auto port = server->listen(address); !port)
+        auto port = server->listen(address);
+        if (!port)
             return port.error();
+        if (m_servers.empty())
+            m_adminPort = port.value();
         m_servers.push_back(std::move(server));
     }
     return std::nullopt;
@@ -695,10 +699,7 @@
     for (const ConfigurationRecord& record : m_configuration->ledger().held())
         documents.push_back({ { "name", record.name }, { "version", record.version } });
     Json members = Json::array();
-    m_directory->forEachLive([&](const NodeRecord& record) {
-        members.push_back({ { "name", record.name }, { "dataCentre", record.location.dataCentre },
-            { "relay", record.relayAddress } });
-    });
+    m_directory->forEachLive([&](const NodeRecord& record) { members.push_back(toStatusJson(record)); });
     Json status { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
         { "ready", m_configuration->isReady() }, { "stopping", m_isStopping }, { "configuration", documents },
         { "members", members } };
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -100,7 +100,8 @@
     WatchElection m_election;
     std::unique_ptr<ConfigurationDriver<StoreClient>> m_configuration;
     UpstreamRegistration m_upstream;
-    std::vector<std::unique_ptr<AdminServer>> m_servers;
+    std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one on the admin address
+    uint16_t m_adminPort = 0;
     std::atomic<uint64_t> m_digest { 0 }; // of the configuration; read by the entry workers
     std::atomic<uint32_t> m_nodeCount { 1 }; // read by the entry workers
     WatchRole m_role = WatchRole::None;
--- /dev/null
+++ b/tests/DirectoryProcessTests.cpp
@@ -0,0 +1,62 @@
+// Nodes that meet through a directory in the object store (fleet.discovery = "store"), as real processes.
+#define BOOST_TEST_MODULE DirectoryProcess
+#include "FleetHarness.h"
+#include "node/GlibCalls.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Gooseberrymill;
+using namespace Gooseberrymill::Testing;
+
+namespace {
+
+uint16_t freePort()
+{
+    auto socket = listenSocket("127.0.0.1", 0, false);
+    BOOST_REQUIRE(socket);
+    return localPort(socket.value().get());
+}
+
+// Relay ports stay over a restart, as on instances with fixed addresses.
+FleetShape directoryShape()
+{
+    FleetShape shape;
+    shape.fleetSettings = "discovery = \"store\"\n";
+    std::vector<uint16_t> ports;
+    for (size_t i = 0; i < shape.nodes; ++i)
+        ports.push_back(freePort());
+    shape.extraSettings
+        = [ports](size_t i) { return fmt::format("[listen]\nrelay = \"127.0.0.1:{}\"\n", ports.at(i)); };
+    return shape;
+}
+
+bool servesReads(Fleet& fleet, size_t node)
+{
+    return waitUntil([&] { return fleet.call(node, "GET", "/read/a").status == 200; });
+}
+
+} // namespace
+
+// Guards against nodes that stay alone, and against callers who notice that the upstream beside their node is gone.
+BOOST_AUTO_TEST_CASE(nodesServeEachOthersCallers)
+{
+    Fleet fleet(directoryShape());
+    for (size_t i = 0; i < fleet.size(); ++i)
+        BOOST_TEST(servesReads(fleet, i));
+    fleet.node(0).upstream->signal(SIGKILL);
+    fleet.node(0).upstream->exitCode();
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(fleet.call(0, "GET", "/read/b").status == 200);
+}
+
+// Guards against a node that has neither peers nor configuration after a restart, because the store is away.
+BOOST_AUTO_TEST_CASE(nodeRestartedInAStoreOutageIsToldByItsPeers)
+{
+    Fleet fleet(directoryShape());
+    fleet.setStoreFaults({ { "down", "refuse" } });
+    fleet.node(1).process->signal(SIGTERM);
+    BOOST_TEST(fleet.node(1).process->exitCode().value_or(-1) == 0);
+    fleet.node(1).upstream.reset();
+    fleet.startNode(1);
+    BOOST_TEST(servesReads(fleet, 1));
+}
--- a/tests/FleetHarness.h
+++ b/tests/FleetHarness.h
@@ -211,6 +211,7 @@
     size_t nodes = 3;
     uint32_t slots = 16;
     std::string configuration = shopConfiguration();
+    std::string fleetSettings {}; // TOML keys of the section [fleet]
     std::function<std::string(size_t)> extraSettings {}; // TOML sections [listen] and [advertise] of a node
 };
 
@@ -267,9 +268,9 @@
                 seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ", ", it.gossip);
         }
         std::string settings = fmt::format("[node]\nname = \"node-{}\"\nregion = \"r\"\ndataCentre = \"d-{}\"\n"
-                                           "workers = 2\n[fleet]\nkey = \"a key for tests only\"\nseeds = [{}]\n"
+                                           "workers = 2\n[fleet]\nkey = \"a key for tests only\"\nseeds = [{}]\n{}"
                                            "[store]\nurl = \"{}\"\n{}",
-            i, i % 2, seeds, storeUrl(), m_shape.extraSettings ? m_shape.extraSettings(i) : "");
+            i, i % 2, seeds, m_shape.fleetSettings, storeUrl(), m_shape.extraSettings ? m_shape.extraSettings(i) : "");
         std::string name = fmt::format("node-{}.{}", i, ++m_started);
         node.process
             = start(name, { binary("gooseberrymill"), "serve", "--settings", write(name + ".toml", settings) });
