--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -292,6 +292,22 @@
     return true;
 }
 
+bool EntryExchange::followConfiguration()
+{
+    if (m_routes == m_worker.m_routes)
+        return false;
+    m_routes = m_worker.m_routes;
+    auto* headers = soup_server_message_get_request_headers(m_message.get());
+    const char* host = soup_message_headers_get_one(headers, "Host");
+    auto match = m_routes->match(m_head.method, m_head.target, host ? host : "");
+    if (!match)
+        return false;
+    m_match = m_routes->drawSplit(*match, m_requestId.low);
+    m_head.service = m_match.service->name;
+    m_head.route = m_match.route->name;
+    return true;
+}
+
 bool EntryExchange::checkLimits()
 {
     auto* headers = soup_server_message_get_request_headers(m_message.get());
@@ -628,6 +644,15 @@
 void EntryExchange::settleAttempt(Refusal&& refusal)
 {
     m_dispatched = m_dispatched || refusal.dispatched;
+    if (refusal.reason == RefusalReason::NoRoute && !m_dispatched) {
+        // This entry has matched the request, so the executor runs by another configuration.
+        refusal.reason = RefusalReason::NoConfiguration;
+        refusal.retryAfterMs = temporaryRetryAfterMs;
+        if (m_keepsBody && followConfiguration() && tryElsewhere(refusal)) {
+            updatePause();
+            return;
+        }
+    }
     // "Not run" for a key comes from the executor that holds its claim, and no other may run it.
     bool isHeldKey = m_head.operationKind == OperationKind::Key && refusal.outcome == Outcome::NotRun;
     bool bound = m_head.inquiry || isHeldKey || m_head.operationKind == OperationKind::Token;
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -34,6 +34,7 @@
 
     // Preparation.
     bool findRoute();
+    bool followConfiguration(); // routes the request again by the newest configuration; false: there is no newer one
     bool readOperation();
     bool checkLimits();
     void buildHead();
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -102,11 +102,16 @@
 
 void Node::setRoutes(const std::shared_ptr<const RouteTable>& routes)
 {
-    m_executorTask->post([this, routes] { m_executor->setRoutes(routes); });
+    setExecutorRoutes(routes);
     for (Worker& worker : m_workers)
         worker.task->post([entry = worker.entry.get(), routes] { entry->setRoutes(routes); });
 }
 
+void Node::setExecutorRoutes(const std::shared_ptr<const RouteTable>& routes)
+{
+    m_executorTask->post([this, routes] { m_executor->setRoutes(routes); });
+}
+
 void Node::setCandidates(const std::shared_ptr<const CandidateList>& candidates)
 {
     for (Worker& worker : m_workers)
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -19,6 +19,7 @@
 
     // Control. May be called from any thread; each takes effect in the order of the calls.
     void setRoutes(const std::shared_ptr<const RouteTable>&);
+    void setExecutorRoutes(const std::shared_ptr<const RouteTable>&); // without the entries, which follow later
     void setCandidates(const std::shared_ptr<const CandidateList>&); // of all services
     void updateCandidates(const std::shared_ptr<const CandidateChanges>&);
     void setUpstream(UpstreamEndpoint);
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -534,3 +534,23 @@
         BOOST_TEST(caller.request("POST", "/order/b", {}, "x").status == 200);
     }
 }
+
+// Guards against 404 for a request that every configuration allows: its route moved to another service while it
+// waited, and the executor that it is placed at runs by the newer configuration.
+BOOST_AUTO_TEST_CASE(requestFollowsItsRouteToAnotherService)
+{
+    TestFleet fleet;
+    auto moved = std::make_shared<Configuration>();
+    moved->services = fleet.routes()->documents()[0]->services;
+    Service other = moved->services[0];
+    other.name = "other";
+    moved->services[0].routes.clear();
+    moved->services.push_back(other);
+    auto table = std::make_shared<const RouteTable>(std::vector<std::shared_ptr<const Configuration>> { moved });
+    HttpCaller caller(fleet.port());
+    fleet.setExecutorRoutes(table); // the entry still routes by the former one
+    CallerResponse response = caller.request("POST", "/order/a", {}, "x");
+    BOOST_TEST(response.status == 503);
+    BOOST_TEST(!response.header(HeaderName::retryAfter).empty());
+    BOOST_TEST(response.header(HeaderName::outcome) == "not-run");
+}
--- a/tests/TestFleet.h
+++ b/tests/TestFleet.h
@@ -103,6 +103,12 @@
             member.node->setCandidates(candidates);
     }
 
+    static std::shared_ptr<const RouteTable> routes() { return shopRoutes(30s); }
+    void setExecutorRoutes(const std::shared_ptr<const RouteTable>& routes, size_t i = 0)
+    {
+        m_members[i].node->setExecutorRoutes(routes);
+    }
+
     CandidateList candidates() const { return *m_candidates; }
     void setCandidates(CandidateList candidates)
     {
