One copy of the operation gate's hooks and of the route lookup; say what a retried answer showed

The log line of an answer that is tried elsewhere gave failure_percent 0, not the executor's estimate. No decision changes. DataPathTests, PathOutcomeTests and DirectoryProcessTests pass.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -168,16 +168,7 @@
         services->suspects.reset();
         services->operations.reset();
     };
-    OperationGate& gate = hooks.operations;
-    gate.begin = [services = m_services](const RequestHead& head, std::string_view body, auto decide) {
-        services->operations->begin(head, body, std::move(decide));
-    };
-    gate.leave = [services = m_services](const RequestHead& head) { services->operations->leave(head); };
-    gate.settle
-        = [services = m_services](const RequestHead& head, const std::shared_ptr<const StoredResponse>& response,
-              bool delivered) { services->operations->settle(head, response, delivered); };
-    gate.finish = [services = m_services](
-                      const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
+    hooks.operations = operationGate(m_services);
     hooks.token = [services = m_services](TokenQuery&& query, const std::function<void(TokenReply)>& reply) {
         reply(services->operations->issueToken(query));
     };
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -270,6 +270,13 @@
     attempt();
 }
 
+std::optional<RouteTable::Match> EntryExchange::matchRoute() const
+{
+    const char* host = soup_message_headers_get_one(soup_server_message_get_request_headers(m_message.get()), "Host");
+    return m_routes->match(soup_server_message_get_method(m_message.get()),
+        targetOf(soup_server_message_get_uri(m_message.get())), host ? host : "");
+}
+
 bool EntryExchange::findRoute()
 {
     if (!m_routes || m_routes->documents().empty()) {
@@ -277,9 +284,7 @@
         return false;
     }
     auto* headers = soup_server_message_get_request_headers(m_message.get());
-    const char* host = soup_message_headers_get_one(headers, "Host");
-    auto match = m_routes->match(soup_server_message_get_method(m_message.get()),
-        targetOf(soup_server_message_get_uri(m_message.get())), host ? host : "");
+    auto match = matchRoute();
     std::string own = m_worker.m_settings.upstreamService;
     const char* named = soup_message_headers_get_one(headers, m_worker.m_hooks.headers.callerService);
     std::string service = own.empty() && named ? named : own;
@@ -297,9 +302,7 @@
     if (m_routes == m_worker.m_routes)
         return false;
     m_routes = m_worker.m_routes;
-    auto* headers = soup_server_message_get_request_headers(m_message.get());
-    const char* host = soup_message_headers_get_one(headers, "Host");
-    auto match = m_routes->match(m_head.method, m_head.target, host ? host : "");
+    auto match = matchRoute();
     if (!match)
         return false;
     m_match = m_routes->drawSplit(*match, m_requestId.low);
@@ -569,6 +572,8 @@
     Refusal failure;
     failure.dispatched = true;
     failure.reason = RefusalReason::Degraded;
+    failure.step = "entry.answer";
+    failure.load = m_response.load;
     m_dispatched = true;
     ResponseHead held = std::exchange(m_response, {});
     std::string body = std::exchange(m_held, {});
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -33,6 +33,7 @@
     void logFailedAnswer() const;
 
     // Preparation.
+    std::optional<RouteTable::Match> matchRoute() const; // by the configuration that this request holds
     bool findRoute();
     bool followConfiguration(); // routes the request again by the newest configuration; false: there is no newer one
     bool readOperation();
--- a/src/node/OperationService.h
+++ b/src/node/OperationService.h
@@ -194,4 +194,20 @@
     std::optional<ClaimWriter<Store>> m_claims; // last: its callbacks use the members above
 };
 
+// The gate over the member `operations` of the executor's services. It must exist from the hook `started` to `stopped`,
+// in which all of these calls fall.
+template <typename Services> OperationGate operationGate(std::shared_ptr<Services> services)
+{
+    OperationGate gate;
+    gate.begin = [services](const RequestHead& head, std::string_view body, auto decide) {
+        services->operations->begin(head, body, std::move(decide));
+    };
+    gate.leave = [services](const RequestHead& head) { services->operations->leave(head); };
+    gate.settle = [services](const RequestHead& head, const std::shared_ptr<const StoredResponse>& response,
+                      bool delivered) { services->operations->settle(head, response, delivered); };
+    gate.finish
+        = [services](const RequestHead& head, const Refusal& refusal) { services->operations->finish(head, refusal); };
+    return gate;
+}
+
 } // namespace Gooseberrymill
