Reset the caller's connection before libsoup can end a cut body

The entry took the connection away first and reset it afterwards, so a caller that had read everything saw an orderly end. The connection is now reset before it is taken away. Ruled out: the end of a node with a response in flight, whose test passed before the change as well.

--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -122,6 +122,17 @@
     m_message.reset();
 }
 
+// libsoup 3.2.3 ends a chunked body in order when it frees a message that is not finished. After the reset that end
+// reaches nobody, and the caller cannot take a cut response for a whole one.
+void EntryExchange::resetConnection()
+{
+    GSocket* socket = soup_server_message_get_socket(m_message.get());
+    if (!socket || g_socket_is_closed(socket))
+        return;
+    soup_server_message_get_local_address(m_message.get()); // kept by libsoup, which asks for it once more at the end
+    closeWithReset(socket);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] From the caller
 //-----------------------------------------------------------------------------
@@ -853,19 +864,17 @@
     updatePause();
 }
 
-// The reset keeps the caller from taking a cut response for a whole one.
 void EntryExchange::abortCaller()
 {
     auto self = shared_from_this();
     if (m_finished)
         return;
     dropCall();
+    resetConnection();
     auto message = std::move(m_message);
     g_signal_handlers_disconnect_by_data(message.get(), this);
     end();
-    auto socket = shareObject(soup_server_message_get_socket(message.get()));
     ObjectHandle<GIOStream> stream(soup_server_message_steal_connection(message.get()));
-    closeWithReset(socket.get());
 }
 
 // The message rests while the request body is behind, and until the response head is there.
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -68,7 +68,8 @@
     void respondRefusal(Refusal);
     void respondJson(guint status, const std::string& body);
     void addCommonHeaders(Outcome);
-    void abortCaller();
+    void abortCaller(); // the caller sees a reset, never a whole response
+    void resetConnection();
     void updatePause();
     void end();
 
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -554,3 +554,49 @@
     BOOST_TEST(!response.header(HeaderName::retryAfter).empty());
     BOOST_TEST(response.header(HeaderName::outcome) == "not-run");
 }
+
+namespace {
+
+// A caller that has got everything of a stalled response before `cut` ends it, so that nothing in between can hide
+// what the entry writes at its end.
+CallerResponse receiveCutBody(TestFleet& fleet, const std::function<void()>& cut)
+{
+    constexpr uint64_t part = 300'000; // more than the entry and the executor hold back
+    HttpCaller caller(fleet.port(0));
+    caller.sendHead("GET", "/read/a", { { "Stand-In-Fault", "stall" }, { "Stand-In-Size", std::to_string(part) } });
+    std::atomic<uint64_t> received { 0 };
+    CallerResponse response;
+    std::thread reader(
+        [&] { response = caller.receive(false, [&](std::string_view bytes) { received += bytes.size(); }); });
+    for (int i = 0; i < 500 && received < part; ++i)
+        std::this_thread::sleep_for(10ms);
+    BOOST_TEST(received == part);
+    cut();
+    reader.join();
+    return response;
+}
+
+} // namespace
+
+// Guards against a cut response that looks whole: libsoup ends a chunked body in order when a message that is not
+// finished is freed, which must not reach the caller.
+BOOST_AUTO_TEST_CASE(cutChunkedBodyIsNeverWhole)
+{
+    for (int i = 0; i < 10; ++i) {
+        TestFleet fleet;
+        CallerResponse response = receiveCutBody(fleet, [&] { fleet.upstream().closeStalled(); });
+        BOOST_TEST(response.status == 200);
+        BOOST_TEST(!response.complete);
+    }
+}
+
+// Guards against the same when a node ends with a response in flight, as at its drain limit.
+BOOST_AUTO_TEST_CASE(bodyCutByTheEndOfTheEntryIsNeverWhole)
+{
+    for (int i = 0; i < 10; ++i) {
+        TestFleet fleet;
+        CallerResponse response = receiveCutBody(fleet, [&] { fleet[0].node.reset(); });
+        BOOST_TEST(response.status == 200);
+        BOOST_TEST(!response.complete);
+    }
+}
--- a/tests/UpstreamStandIn.h
+++ b/tests/UpstreamStandIn.h
@@ -1,5 +1,6 @@
 // An HTTP upstream for tests. Faults are chosen by headers of the request:
 //   Stand-In-Fault: slow | status | cut | unfinished | close | shed | endless | hold | crash
+//   stall (a part of Stand-In-Size bytes of a chunked body; then nothing until closeStalled())
 //   (crash: the listener and all connections close; the upstream starts again on its port after a while)
 //   Stand-In-Delay-Ms (slow), Stand-In-Status (status), Stand-In-Size (bytes of the response body)
 // Without a size the response names the method, the target and the digest of the request body.
@@ -105,6 +106,16 @@
         });
     }
 
+    // Closes the connections of all stalled responses ("stall") before their end.
+    void closeStalled()
+    {
+        runOn(m_task, [this] {
+            for (const auto& stream : m_stalled)
+                g_io_stream_close(stream.get(), nullptr, nullptr);
+            m_stalled.clear();
+        });
+    }
+
     // Called on the task of the upstream. Set before the first request.
     std::function<void()> onCrash; // fault "crash"
     std::function<void(const std::string&)> onState; // a new state to announce
@@ -307,7 +318,11 @@
             takeOver(*exchange, cutResponse(exchange->size));
         else if (fault == "unfinished")
             takeOver(*exchange, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n");
-        else if (fault == "endless")
+        else if (fault == "stall") {
+            std::string part = patternBytes(0, exchange->size);
+            self->m_stalled.push_back(startTakeOver(*exchange,
+                fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", part.size(), part)));
+        } else if (fault == "endless")
             takeOver(*exchange, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nno length");
         else
             self->respond(*exchange);
@@ -322,6 +337,12 @@
 
     // Takes the connection away from libsoup, writes `text` and closes.
     static void takeOver(Exchange& exchange, const std::string& text)
+    {
+        g_io_stream_close(startTakeOver(exchange, text).get(), nullptr, nullptr);
+    }
+
+    // Takes the connection away from libsoup and writes `text`. The connection lives as long as the stream.
+    static ObjectHandle<GIOStream> startTakeOver(Exchange& exchange, const std::string& text)
     {
         auto message = shareObject(exchange.message.get());
         auto socket = shareObject(soup_server_message_get_socket(message.get()));
@@ -334,7 +355,7 @@
                 break;
             at += static_cast<size_t>(n);
         }
-        g_io_stream_close(stream.get(), nullptr, nullptr);
+        return stream;
     }
 
     void respond(Exchange& exchange)
@@ -392,6 +413,7 @@
     ObjectHandle<SoupServer> m_server;
     std::map<SoupServerMessage*, std::shared_ptr<Exchange>> m_exchanges;
     std::vector<std::shared_ptr<Exchange>> m_held;
+    std::vector<ObjectHandle<GIOStream>> m_stalled;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, size_t> m_counts;
