Compare directories by fingerprints, compress control messages, let only watchers tell of versions

A node whose digest differed was sent the whole directory, 25 KB at 108 nodes, and replied with its own; a node that started got it from each of its 35 peers; each node told its region of each configuration version, which it had from a watcher. Change: a notice carries the records that changed; when digests still differ the reply lists a fingerprint for each record, and only records that differ follow (core/DirectorySync). Configurations and directories are compressed.

--- /dev/null
+++ b/src/core/DirectorySync.cpp
@@ -0,0 +1,40 @@
+#include "DirectorySync.h"
+
+namespace Gooseberrymill {
+
+DirectoryNotice noticeFrom(const NodeDirectory& directory, std::vector<NodeRecord> records)
+{
+    DirectoryNotice notice;
+    notice.sender = directory.self().name;
+    notice.digest = directory.digest();
+    notice.records = std::move(records);
+    return notice;
+}
+
+NoticeResult takeNotice(NodeDirectory& directory, const DirectoryNotice& notice, Instant now)
+{
+    const NodeRecord* sender = directory.find(notice.sender);
+    bool isOwnRegion = sender && sender->location.region == directory.self().location.region;
+    RecordReach reach = notice.isForRegion && isOwnRegion ? RecordReach::Region : RecordReach::Node;
+    NoticeResult result;
+    result.isChanged = directory.mergeAll(notice.records, now, reach);
+    result.reply.digest = directory.digest();
+    if (!notice.known.empty())
+        result.reply.records = directory.recordsNotIn(notice.known);
+    else if (notice.compares && notice.digest != result.reply.digest)
+        result.reply.known = directory.fingerprints();
+    return result;
+}
+
+ReplyResult takeReply(NodeDirectory& directory, const DirectoryReply& reply, Instant now)
+{
+    ReplyResult result;
+    result.isChanged = directory.mergeAll(reply.records, now, RecordReach::Node);
+    if (reply.known.empty() || reply.digest == directory.digest())
+        return result;
+    result.next = noticeFrom(directory, directory.recordsNotIn(reply.known));
+    result.next->known = directory.fingerprints();
+    return result;
+}
+
+} // namespace Gooseberrymill
--- a/src/core/NodeDirectory.cpp
+++ b/src/core/NodeDirectory.cpp
@@ -23,7 +23,7 @@
     return it == m_records.end() ? nullptr : &it->second.record;
 }
 
-bool NodeDirectory::merge(const NodeRecord& record, Instant now)
+bool NodeDirectory::merge(const NodeRecord& record, Instant now, RecordReach reach)
 {
     auto it = m_records.find(record.name);
     if (record.name == m_self) {
@@ -39,15 +39,19 @@
     if (it != m_records.end() && !isNewer(record, it->second.record))
         return false;
     put(record, now);
+    if (reach == RecordReach::Node)
+        m_unshared.insert(record.name);
+    else
+        m_unshared.erase(record.name);
     updateDigest();
     return true;
 }
 
-bool NodeDirectory::mergeAll(std::span<const NodeRecord> records, Instant now)
+bool NodeDirectory::mergeAll(std::span<const NodeRecord> records, Instant now, RecordReach reach)
 {
     bool isChanged = false;
     for (const NodeRecord& record : records)
-        isChanged = merge(record, now) || isChanged;
+        isChanged = merge(record, now, reach) || isChanged;
     return isChanged;
 }
 
@@ -81,14 +85,48 @@
 {
     m_digest = 0;
     for (const auto& [name, entry] : m_records) {
-        if (entry.record.status == NodeStatus::Left)
-            continue;
-        std::array<uint64_t, 4> key { XXH3_64bits(name.data(), name.size()), entry.record.incarnation.low,
-            entry.record.startedAt, entry.record.counter };
-        m_digest ^= XXH3_64bits(key.data(), sizeof(key));
+        if (entry.record.status != NodeStatus::Left)
+            m_digest ^= fingerprintOf(entry.record);
     }
 }
 
+uint64_t NodeDirectory::fingerprintOf(const NodeRecord& record)
+{
+    std::array<uint64_t, 4> key { XXH3_64bits(record.name.data(), record.name.size()), record.incarnation.low,
+        record.startedAt, record.counter };
+    return XXH3_64bits(key.data(), sizeof(key));
+}
+
+std::vector<uint64_t> NodeDirectory::fingerprints() const
+{
+    std::vector<uint64_t> all;
+    all.reserve(m_records.size());
+    for (const auto& [name, entry] : m_records)
+        all.push_back(fingerprintOf(entry.record));
+    return all;
+}
+
+std::vector<NodeRecord> NodeDirectory::recordsNotIn(std::vector<uint64_t> fingerprints) const
+{
+    std::ranges::sort(fingerprints);
+    std::vector<NodeRecord> missing;
+    for (const auto& [name, entry] : m_records) {
+        if (!std::ranges::binary_search(fingerprints, fingerprintOf(entry.record)))
+            missing.push_back(entry.record);
+    }
+    return missing;
+}
+
+std::vector<NodeRecord> NodeDirectory::takeUnshared()
+{
+    std::vector<NodeRecord> unshared;
+    for (const std::string& name : std::exchange(m_unshared, {})) {
+        if (const NodeRecord* record = find(name))
+            unshared.push_back(*record);
+    }
+    return unshared;
+}
+
 void NodeDirectory::tick(Instant now)
 {
     std::erase_if(m_records, [&](const auto& it) {
--- a/src/core/NodeDirectory.h
+++ b/src/core/NodeDirectory.h
@@ -7,36 +7,20 @@
 
 #include "Membership.h"
 
+#include <set>
+
 namespace Gooseberrymill {
 
 //-----------------------------------------------------------------------------
-// [SECTION] Messages
+// [SECTION] Directory
 //-----------------------------------------------------------------------------
 
-// What a node tells another one: that it lives, what it knows, and what changed.
-struct DirectoryNotice {
-    std::string sender;
-    bool isWatching = false; // the sender holds a watch of the store that works
-    uint64_t digest = 0; // of the sender's directory
-    uint64_t configurationDigest = 0;
-    std::vector<NodeRecord> records; // changed ones, or all of them when the digests differ
-    template <class Archive> void serialize(Archive& archive)
-    {
-        archive(sender, isWatching, digest, configurationDigest, records);
-    }
-};
-
-struct DirectoryReply {
-    uint64_t digest = 0; // after the records of the notice were taken over
-    uint64_t configurationDigest = 0;
-    std::vector<NodeRecord> records; // all that are known, when the digests differ
-    template <class Archive> void serialize(Archive& archive) { archive(digest, configurationDigest, records); }
+// Who has a record that this node gets.
+enum class RecordReach : uint8_t {
+    Region, // every node of the own region is told by the same sender
+    Node, // perhaps this node alone
 };
 
-//-----------------------------------------------------------------------------
-// [SECTION] Directory
-//-----------------------------------------------------------------------------
-
 class NodeDirectory {
 public:
     static constexpr Duration tombstoneTime = 30s; // how long a node that left is remembered, against older records
@@ -45,8 +29,8 @@
 
     // Takes over a record that is newer than the one held. A record under this node's own name that is not older
     // than its own is answered by raising the own one. True when something changed.
-    bool merge(const NodeRecord&, Instant now);
-    bool mergeAll(std::span<const NodeRecord>, Instant now);
+    bool merge(const NodeRecord&, Instant now, RecordReach = RecordReach::Node);
+    bool mergeAll(std::span<const NodeRecord>, Instant now, RecordReach = RecordReach::Node);
 
     // The own record changed: raises its counter.
     void update(const std::function<void(NodeRecord&)>& change);
@@ -61,6 +45,13 @@
     uint64_t digest() const { return m_digest; } // equal at nodes that know the same records
     size_t liveCount() const;
     std::vector<NodeRecord> records() const; // all, those that left included
+
+    // One value for each record, equal at nodes that hold the same version of it.
+    std::vector<uint64_t> fingerprints() const;
+    std::vector<NodeRecord> recordsNotIn(std::vector<uint64_t> fingerprints) const;
+    // Records that reached this node since the last call and may not have reached its region.
+    std::vector<NodeRecord> takeUnshared();
+
     template <typename Function> void forEachLive(Function function) const
     {
         for (const auto& [name, entry] : m_records) {
@@ -89,9 +80,11 @@
 
     void put(const NodeRecord&, Instant now);
     void updateDigest();
+    static uint64_t fingerprintOf(const NodeRecord&);
 
     std::string m_self;
     std::map<std::string, Entry, std::less<>> m_records;
+    std::set<std::string, std::less<>> m_unshared; // names of records
     uint64_t m_digest = 0;
 };
 
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -1,5 +1,6 @@
 #include "DirectoryControl.h"
 
+#include "core/DirectorySync.h"
 #include "core/RetryBudget.h"
 #include "Log.h"
 #include "NodeRecordJson.h"
@@ -26,6 +27,7 @@
 constexpr Duration lostTime = 8s; // a node that answered no notice for so long is taken for gone
 constexpr uint32_t lostNotices = 5;
 constexpr size_t askedWhenIsolated = 2;
+constexpr size_t neighboursCompared = 2; // by a node that starts; one of them may have just started as well
 constexpr std::string_view recordKindPrefix = "nodes-"; // one kind of object for each region
 
 ConfigurationSyncSettings syncSettings()
@@ -237,9 +239,10 @@
     hooks.inForce = [this](const std::shared_ptr<const RouteTable>& routes) { onRoutes(routes); };
     hooks.digestChanged = [this](uint64_t digest) {
         m_digest = digest;
+        if (m_role != WatchRole::Watcher)
+            return; // it came from a watcher, which tells the others as well
         tellRegion({});
-        if (m_role == WatchRole::Watcher)
-            m_nextRemoteNotice = {};
+        m_nextRemoteNotice = {};
     };
     hooks.relayAddress = [this](std::string_view node) {
         const NodeRecord* record = m_directory->find(node);
@@ -328,8 +331,10 @@
         if (m_directory->mergeAll(records, currentInstant()))
             directoryChanged();
         m_isRegionKnown = m_isRegionKnown || isOwn;
-        if (isOwn)
-            tellRegion({ m_directory->self() });
+        if (!isOwn)
+            return;
+        tellRegion({ m_directory->self() });
+        compareWithNeighbours();
     });
 }
 
@@ -375,24 +380,51 @@
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
 
-void DirectoryControl::tell(const NodeRecord& peer, std::vector<NodeRecord> records)
+void DirectoryControl::send(const NodeRecord& peer, DirectoryNotice notice)
 {
-    DirectoryNotice notice { m_settings.nodeName, m_role == WatchRole::Watcher && m_isStoreReachable,
-        m_directory->digest(), m_digest, std::move(records) };
+    notice.isWatching = m_role == WatchRole::Watcher && m_isStoreReachable;
+    notice.configurationDigest = m_digest;
     m_relay->query(
         peer.relayAddress, std::move(notice),
         [this, name = peer.name](const Result<RelayMessage>& result) { onReply(name, result); }, peerTimeout);
 }
 
-void DirectoryControl::tellRegion(const std::vector<NodeRecord>& records)
+void DirectoryControl::compareWith(const NodeRecord& peer, std::vector<NodeRecord> records)
+{
+    DirectoryNotice notice = noticeFrom(*m_directory, std::move(records));
+    notice.compares = true;
+    send(peer, std::move(notice));
+}
+
+void DirectoryControl::tellRegion(const std::vector<NodeRecord>& records, bool compares)
 {
     std::vector<NodeRecord> peers;
     m_directory->forEachLive([&](const NodeRecord& it) {
         if (it.location.region == m_settings.location.region && it.name != m_settings.nodeName)
             peers.push_back(it);
     });
+    DirectoryNotice notice = noticeFrom(*m_directory, records);
+    notice.isForRegion = true;
+    notice.compares = compares;
     for (const NodeRecord& peer : peers)
-        tell(peer, records);
+        send(peer, notice);
+}
+
+// Nodes of the own data centre first: a directory is the largest message between nodes.
+void DirectoryControl::compareWithNeighbours()
+{
+    std::vector<NodeRecord> near;
+    std::vector<NodeRecord> others;
+    m_directory->forEachLive([&](const NodeRecord& it) {
+        if (it.name != m_settings.nodeName && it.location.region == m_settings.location.region)
+            (it.location == m_settings.location ? near : others).push_back(it);
+    });
+    std::ranges::shuffle(near, m_random);
+    std::ranges::shuffle(others, m_random);
+    near.insert(near.end(), others.begin(), others.end());
+    near.resize(std::min(near.size(), neighboursCompared));
+    for (const NodeRecord& peer : near)
+        compareWith(peer);
 }
 
 void DirectoryControl::tellRestarted()
@@ -403,7 +435,7 @@
             left.push_back(it);
     });
     for (const NodeRecord& peer : left)
-        tell(peer, {});
+        compareWith(peer);
 }
 
 void DirectoryControl::tellOtherRegions()
@@ -418,7 +450,7 @@
     for (const auto& [region, nodes] : regions)
         chosen.push_back(*nodes[m_random() % nodes.size()]);
     for (const NodeRecord& peer : chosen)
-        tell(peer, {});
+        compareWith(peer);
 }
 
 void DirectoryControl::onReply(const std::string& peer, const Result<RelayMessage>& result)
@@ -430,12 +462,11 @@
     m_lastHeard = now;
     m_silences.erase(peer);
     m_configuration->digestSeen(peer, reply->configurationDigest);
-    if (m_directory->mergeAll(reply->records, now))
+    ReplyResult taken = takeReply(*m_directory, *reply, now);
+    if (taken.isChanged)
         directoryChanged();
-    // The peer lacks something that this node knows.
-    bool isBehind = !reply->records.empty() && reply->digest != m_directory->digest();
-    if (const NodeRecord* record = m_directory->find(peer); isBehind && record)
-        tell(NodeRecord(*record), m_directory->records());
+    if (const NodeRecord* record = m_directory->find(peer); taken.next && record)
+        send(NodeRecord(*record), std::move(*taken.next));
 }
 
 DirectoryReply DirectoryControl::onNotice(const DirectoryNotice& notice)
@@ -444,13 +475,12 @@
     m_lastHeard = now;
     m_silences.erase(notice.sender);
     m_election.noticed(notice.sender, notice.isWatching, now);
-    if (m_directory->mergeAll(notice.records, now))
+    NoticeResult taken = takeNotice(*m_directory, notice, now);
+    if (taken.isChanged)
         directoryChanged();
     m_configuration->digestSeen(notice.sender, notice.configurationDigest);
-    DirectoryReply reply { m_directory->digest(), m_digest, {} };
-    if (reply.digest != notice.digest && notice.records.size() <= 1)
-        reply.records = m_directory->records();
-    return reply;
+    taken.reply.configurationDigest = m_digest;
+    return std::move(taken.reply);
 }
 
 void DirectoryControl::noteSilence(const std::string& peer)
@@ -502,7 +532,7 @@
     bool isIsolated = now - std::max(m_lastHeard, m_startedAt) > isolationTime;
     if (m_role == WatchRole::Watcher && now >= m_nextNotice) {
         m_nextNotice = now + noticePeriod;
-        tellRegion({});
+        tellRegion(m_directory->takeUnshared(), true);
         tellRestarted();
     } else if (m_role != WatchRole::Watcher && isIsolated && now >= m_nextNotice) {
         m_nextNotice = now + isolationTime;
@@ -511,7 +541,7 @@
         std::vector<NodeRecord> chosen;
         std::ranges::sample(all, std::back_inserter(chosen), askedWhenIsolated, m_random);
         for (const NodeRecord& peer : chosen)
-            tell(peer, { m_directory->self() });
+            compareWith(peer, { m_directory->self() });
     }
     if (m_role == WatchRole::Watcher && now >= m_nextRemoteNotice) {
         m_nextRemoteNotice = now + remoteNoticePeriod;
--- a/src/node/RelayFrames.cpp
+++ b/src/node/RelayFrames.cpp
@@ -1,5 +1,7 @@
 #include "RelayFrames.h"
 
+#include "FrameCompression.h"
+
 #include <algorithm>
 #include <bit>
 #include <cereal/archives/portable_binary.hpp>
@@ -148,6 +150,8 @@
 constexpr size_t framedBytes = frameHeaderBytes - lengthBytes + macBytes; // counted by the length, besides the payload
 constexpr size_t sequenceOffset = lengthBytes + 1;
 constexpr size_t maxHeadBytes = 128 << 10;
+constexpr uint8_t compressedFlag = 0x80; // of the kind: the payload is compressed by DEFLATE
+constexpr size_t minCompressedBytes = 512; // smaller messages gain too little
 constexpr size_t maxCrashBytes = maxCrashReports * (sizeof(Id128) + sizeof(uint32_t) + 2 * sizeof(Fingerprint)) + 1024;
 
 constexpr size_t maxDirectoryBytes = 4 << 20; // 6,100 nodes of at most 600 bytes each
@@ -238,6 +242,13 @@
 }
 template <typename T> bool isValid(const T& /*message*/) { return true; }
 
+// Control messages repeat names. Requests and responses are the callers' own data and are sent as they are.
+bool isCompressible(const RelayMessage& message)
+{
+    return std::holds_alternative<ConfigurationReply>(message) || std::holds_alternative<DirectoryNotice>(message)
+        || std::holds_alternative<DirectoryReply>(message);
+}
+
 template <size_t index = 0> RelayMessage emptyMessage(size_t wanted)
 {
     if constexpr (index + 1 < std::variant_size_v<RelayMessage>) {
@@ -298,12 +309,21 @@
 std::error_code RelayCodec::appendFrame(const RelayMessage& message, std::string& out)
 {
     auto kind = static_cast<uint8_t>(message.index() + 1);
-    m_signed.assign(1 + frameHeaderBytes, '\0'); // the direction is authenticated but not sent
+    constexpr size_t payloadStart = 1 + frameHeaderBytes;
+    m_signed.assign(payloadStart, '\0'); // the direction is authenticated but not sent
     m_signed[0] = static_cast<char>(m_send.label);
     writePayload(message, m_signed);
-    size_t payload = m_signed.size() - 1 - frameHeaderBytes;
+    size_t payload = m_signed.size() - payloadStart;
     if (payload > maxPayloadBytes(kind))
         return ErrorCode::TooLarge;
+    auto smaller = isCompressible(message) && payload >= minCompressedBytes
+        ? deflate(std::string_view(m_signed).substr(payloadStart))
+        : std::nullopt;
+    if (smaller) {
+        m_signed.replace(payloadStart, payload, *smaller);
+        payload = smaller->size();
+        kind |= compressedFlag;
+    }
     putNumber(m_signed, 1, payload + framedBytes, lengthBytes);
     m_signed[1 + lengthBytes] = static_cast<char>(kind);
     putNumber(m_signed, 1 + sequenceOffset, m_send.sequence++, sizeof(uint64_t));
@@ -329,7 +349,8 @@
         return {};
     }
     size_t length = getNumber(input, 0, lengthBytes);
-    auto kind = static_cast<uint8_t>(input[lengthBytes]);
+    auto flaggedKind = static_cast<uint8_t>(input[lengthBytes]);
+    auto kind = static_cast<uint8_t>(flaggedKind & ~compressedFlag);
     size_t limit = maxPayloadBytes(kind);
     if (!limit || length < framedBytes || (!m_established && kind != 1) || (m_established && kind == 1))
         return ErrorCode::Malformed;
@@ -348,7 +369,15 @@
         return ErrorCode::NotAuthentic;
     if (getNumber(frame, sequenceOffset, sizeof(uint64_t)) != m_receive.sequence++)
         return ErrorCode::NotAuthentic;
-    if (auto ec = readPayload(kind - 1, frame.substr(frameHeaderBytes), message))
+    std::string_view payload = frame.substr(frameHeaderBytes);
+    std::optional<std::string> whole;
+    if (flaggedKind & compressedFlag) {
+        whole = inflate(payload, limit);
+        if (!whole)
+            return ErrorCode::Malformed;
+        payload = *whole;
+    }
+    if (auto ec = readPayload(kind - 1, payload, message))
         return ec;
     m_consumed += lengthBytes + length;
     return m_established ? std::error_code() : acceptHello(*message);
--- a/src/node/RelayFrames.h
+++ b/src/node/RelayFrames.h
@@ -1,12 +1,13 @@
 // Frames between nodes over TCP: encoding, bounds and authentication. No I/O.
 //
 // A frame is: 4-byte length of the rest (big endian), 1-byte kind, 8-byte sequence (big endian), payload
-// (cereal portable binary), 16-byte truncated HMAC-SHA-256. The first frame of each side is a Hello,
+// (cereal portable binary; compressed by DEFLATE when the highest bit of the kind is set), 16-byte truncated
+// HMAC-SHA-256. The first frame of each side is a Hello,
 // authenticated under the fleet key. All later frames are authenticated under a key derived from both
 // nonces and the direction, so a frame is valid in one connection, one direction and one position only.
 #pragma once
 
-#include "core/NodeDirectory.h"
+#include "core/DirectorySync.h"
 #include "core/QueryOfDeathFilter.h"
 #include "core/RelayMessages.h"
 #include "FleetAuth.h"
@@ -15,8 +16,8 @@
 
 namespace Gooseberrymill {
 
-constexpr uint16_t relayVersion
-    = 3; // of the messages; a peer one version behind is accepted. Version 2 was never released
+// Of the messages. A peer one version behind is accepted; the versions between 1 and 4 were never released.
+constexpr uint16_t relayVersion = 4;
 
 // First frame of each side.
 struct Hello {
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE RelayFrames
+#include "node/FrameCompression.h"
 #include "node/RelayFrames.h"
 
 #include <boost/test/unit_test.hpp>
@@ -332,3 +333,33 @@
     auto ec = pair.server.next(message);
     RC_ASSERT(message.has_value() != static_cast<bool>(ec));
 }
+
+// Guards against configurations that cross the network in full for each node of a fleet, and against a small frame that
+// makes its receiver allocate without bound.
+BOOST_AUTO_TEST_CASE(compressesControlMessagesWithinTheirBounds)
+{
+    Pair pair;
+    ConfigurationReply reply;
+    reply.newer.push_back({ "main", 7, "change", "author", {} });
+    for (int i = 0; i < 300; ++i)
+        reply.newer[0].text += "[[route]]\nname = \"route-" + std::to_string(i) + "\"\nservice = \"bayaran\"\n";
+    std::string text = reply.newer[0].text;
+    std::string frame = encoded(pair.client, reply);
+    BOOST_TEST(frame.size() < text.size() / 4);
+    std::optional<RelayMessage> message;
+    pair.server.feed(frame);
+    BOOST_REQUIRE(!pair.server.next(message));
+    BOOST_TEST(std::get<ConfigurationReply>(*message).newer.at(0).text == text);
+    auto bomb = deflate(std::string(size_t { 64 } << 20, 'x'));
+    BOOST_REQUIRE(bomb);
+    BOOST_TEST(!inflate(*bomb, size_t { 8 } << 20));
+    BOOST_TEST(!inflate("no deflate stream", 1024));
+    BOOST_TEST(inflate(*deflate(std::string(4096, 'y')), 4096).value().size() == 4096U);
+}
+
+// Guards against compression of callers' data, whose length could then tell what it contains.
+BOOST_AUTO_TEST_CASE(sendsBodiesAsTheyAre)
+{
+    Pair pair;
+    BOOST_TEST(encoded(pair.client, BodyChunk { std::string(8192, 'z') }).size() > 8192U);
+}
