--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -19,7 +19,7 @@
 constexpr size_t writeHighMark = 256 << 10;
 constexpr size_t writeLowMark = 64 << 10;
 constexpr uint64_t maxDiscardedBytes = 1 << 20; // of a body that nobody wants, before the caller is cut off
-constexpr uint32_t maxTurnBacks = 10; // executors asked beyond the attempts, each for a round trip to a node
+constexpr uint32_t maxTurnBacks = 6; // executors asked beyond the attempts, each for a round trip to a node
 // Longest wait for an executor to take a request: a new connection and three round trips, on a processor that rests
 // for the remainder of each tenth of a second.
 constexpr Duration nearPatience = 300ms; // in the own region
