--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -72,10 +72,13 @@
     refusal.dispatched = true;
     ConfigurationReply reply;
     reply.newer.push_back({ "main", 4, "change", "author", std::string(100000, 'x') });
+    DirectoryNotice notice { "node-a", true, true, true, 11, 12, { NodeRecord() }, { 13, 14 } };
+    notice.records[0].name = "node-b";
     return { sampleHead(), BodyChunk { std::string(maxChunkBytes, 'b') }, BodyEnd {}, response, refusal,
         Cancel { { 1, 1 } }, TokenQuery { { 2, 2 }, "shop" }, TokenReply { { 3, 3 }, { 4, 4 }, { 5, 5 }, 6 },
         ConfigurationQuery { { { "main", 3, "", "", "" } } }, reply, fullNotice(),
-        CrashNoticeReply { { { { 6, 7 }, 8, 9 } }, { 10 } } };
+        CrashNoticeReply { { { { 6, 7 }, 8, 9 } }, { 10 } }, notice, DirectoryReply { 15, 16, notice.records, { 17 } },
+        Continue { { 18, 19 } } };
 }
 
 void putNumber(std::string& out, uint64_t value, size_t bytes)
