Soak of the real programs under overlapping faults

FaultSoakProcessTests: four nodes, their upstreams and the store as processes; signals, path faults by a loopback proxy, store outages and configurations from a seed; callers keep their connections. Checked: at most once, a true "not run", whole and own answers, service within 15 s, memory and descriptors.

--- /dev/null
+++ b/tests/FaultSoakProcessTests.cpp
@@ -0,0 +1,315 @@
+// Soak of the real programs under random faults from outside: signals to the processes, faults of the paths between
+// nodes and of the store, new configurations, in overlapping series. Callers keep their connections open and check
+// what they get while it runs; what upstreams saw is checked at the end.
+//
+//   FaultSoakProcessTests                             seeds that failed once, and one more
+//   GM_SOAK_SEED=100 GM_SOAK_COUNT=50 GM_SOAK_SECONDS=20 FaultSoakProcessTests
+#define BOOST_TEST_MODULE FaultSoakProcess
+#include "FaultProxy.h"
+#include "FleetHarness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Gooseberrymill;
+using namespace Gooseberrymill::Testing;
+
+namespace {
+
+constexpr size_t nodeCount = 4;
+constexpr size_t callerCount = 6;
+constexpr uint64_t defaultSeed = 1;
+constexpr auto defaultLength = 8s;
+constexpr auto recoveryTime = 15s; // as the platform allows after a fault
+constexpr size_t maxResidentKiB = 260 << 10; // memory of the smallest instance that is planned for
+constexpr size_t maxDescriptors = 1000;
+
+uint64_t numberFrom(const char* variable, uint64_t fallback)
+{
+    const char* text = std::getenv(variable);
+    return text ? std::stoull(text) : fallback;
+}
+
+struct Sent {
+    std::string target;
+    bool isOrder = false;
+    CallerResponse response;
+};
+
+// A caller that keeps its connection to one node and moves on when it closes.
+class Caller {
+public:
+    Caller(Fleet& fleet, uint64_t seed, size_t index)
+        : m_random(seed * callerCount + index)
+        , m_name(fmt::format("{}-{}", seed, index))
+    {
+        for (size_t i = 0; i < fleet.size(); ++i)
+            m_ports.push_back(fleet.node(i).callers);
+    }
+
+    void run(const std::atomic<bool>& isStopped)
+    {
+        while (!isStopped)
+            callOnce();
+    }
+
+    const std::vector<Sent>& sent() const { return m_sent; }
+
+private:
+    void callOnce()
+    {
+        if (!m_connection)
+            m_connection = std::make_unique<HttpCaller>(m_ports[m_random() % m_ports.size()]);
+        Sent sent;
+        sent.isOrder = m_random() % 2;
+        sent.target = fmt::format("/{}/{}-{}", sent.isOrder ? "order" : "read", m_name, m_sent.size());
+        sent.response = sent.isOrder ? m_connection->request("POST", sent.target, {}, "one order")
+                                     : m_connection->request("GET", sent.target);
+        bool isOpen = sent.response.complete && sent.response.header("Connection") != "close";
+        if (!isOpen || m_random() % 10 == 0)
+            m_connection.reset();
+        if (!sent.response.status)
+            std::this_thread::sleep_for(20ms); // a node that is down
+        m_sent.push_back(std::move(sent));
+    }
+
+    std::mt19937_64 m_random;
+    std::string m_name;
+    std::vector<uint16_t> m_ports;
+    std::unique_ptr<HttpCaller> m_connection;
+    std::vector<Sent> m_sent;
+};
+
+// Faults of one run, drawn from a seed. Each ends by itself; several overlap.
+class Faults {
+public:
+    Faults(Fleet& fleet, std::vector<std::unique_ptr<FaultProxy>>& paths, uint64_t seed)
+        : m_fleet(fleet)
+        , m_paths(paths)
+        , m_random(seed)
+    {
+    }
+
+    void run(Clock::duration length)
+    {
+        auto end = Clock::now() + length;
+        while (Clock::now() < end) {
+            begin();
+            auto next = Clock::now() + std::chrono::milliseconds(100 + m_random() % 700);
+            while (Clock::now() < next) {
+                endDue(Clock::now());
+                std::this_thread::sleep_for(10ms);
+            }
+        }
+        endDue(Clock::time_point::max());
+    }
+
+    const std::string& history() const { return m_history; }
+
+private:
+    struct Ending {
+        Clock::time_point due;
+        std::function<void()> action;
+    };
+
+    void after(uint64_t millis, std::function<void()> action)
+    {
+        m_endings.push_back({ Clock::now() + std::chrono::milliseconds(millis), std::move(action) });
+    }
+
+    void endDue(Clock::time_point now)
+    {
+        for (size_t i = 0; i < m_endings.size();) {
+            if (m_endings[i].due > now) {
+                ++i;
+                continue;
+            }
+            auto action = std::move(m_endings[i].action);
+            m_endings.erase(m_endings.begin() + static_cast<std::ptrdiff_t>(i));
+            action();
+        }
+    }
+
+    void begin()
+    {
+        size_t i = m_random() % m_fleet.size();
+        uint64_t millis = 200 + m_random() % 1800;
+        switch (m_random() % 6) {
+        case 0:
+            return pause(i, millis);
+        case 1:
+            return stop(i, SIGKILL, millis);
+        case 2:
+            return stop(i, SIGTERM, millis);
+        case 3:
+            return cutPath(i, millis);
+        case 4:
+            return failStore(millis);
+        default:
+            return configure();
+        }
+    }
+
+    void note(const std::string& text) { m_history += text + "; "; }
+
+    void pause(size_t i, uint64_t millis)
+    {
+        if (m_isDown[i])
+            return;
+        note(fmt::format("pause {} {} ms", i, millis));
+        m_fleet.node(i).process->signal(SIGSTOP);
+        after(millis, [this, i] { m_fleet.node(i).process->signal(SIGCONT); });
+    }
+
+    // Starts the node again after a while. A SIGTERM that takes longer than that is waited for.
+    void stop(size_t i, int signal, uint64_t millis)
+    {
+        if (std::exchange(m_isDown[i], true))
+            return;
+        note(fmt::format("signal {} to {}, {} ms", signal, i, millis));
+        m_fleet.node(i).process->signal(signal);
+        after(millis, [this, i] {
+            m_fleet.node(i).process->signal(SIGCONT);
+            m_fleet.node(i).process->exitCode();
+            m_fleet.startNode(i);
+            m_isDown[i] = false;
+        });
+    }
+
+    void cutPath(size_t i, uint64_t millis)
+    {
+        constexpr std::array faults { PathFault::Delay, PathFault::Silence, PathFault::OneWay, PathFault::Reset };
+        PathFault fault = faults[m_random() % faults.size()];
+        note(fmt::format("path fault {} to {}, {} ms", static_cast<int>(fault), i, millis));
+        m_paths[i]->setFault(fault);
+        after(millis, [this, i] { m_paths[i]->setFault(PathFault::None); });
+    }
+
+    void failStore(uint64_t millis)
+    {
+        const char* how = m_random() % 2 ? "refuse" : "hang";
+        note(fmt::format("store {} {} ms", how, millis));
+        m_fleet.setStoreFaults({ { "down", how } });
+        after(millis, [this] { m_fleet.setStoreFaults({ { "down", "none" } }); });
+    }
+
+    void configure()
+    {
+        note("configuration");
+        std::string route = fmt::format(
+            "[[service.route]]\nname = \"extra-{0}\"\npath = \"/extra-{0}/*\"\nrepeatable = true\n", ++m_versions);
+        m_fleet.apply(shopConfiguration(route), "soak");
+    }
+
+    Fleet& m_fleet;
+    std::vector<std::unique_ptr<FaultProxy>>& m_paths;
+    std::mt19937_64 m_random;
+    std::vector<Ending> m_endings;
+    std::array<bool, nodeCount> m_isDown {};
+    int m_versions = 0;
+    std::string m_history;
+};
+
+// Fixed ports, as on instances with fixed addresses; peers reach each relay port through a proxy.
+FleetShape soakShape(std::vector<std::unique_ptr<FaultProxy>>& paths)
+{
+    FleetShape shape;
+    shape.nodes = nodeCount;
+    shape.fleetSettings = "discovery = \"store\"\n";
+    std::vector<std::string> sections;
+    for (size_t i = 0; i < nodeCount; ++i) {
+        uint16_t relay = freePort(SOCK_STREAM);
+        paths.push_back(std::make_unique<FaultProxy>(relay));
+        sections.push_back(fmt::format("[listen]\nrelay = \"127.0.0.1:{}\"\ncaller = \"127.0.0.1:{}\"\n"
+                                       "admin = \"127.0.0.1:{}\"\n[advertise]\nrelay = \"127.0.0.1:{}\"\n",
+            relay, freePort(SOCK_STREAM), freePort(SOCK_STREAM), paths.back()->port()));
+    }
+    shape.extraSettings = [sections](size_t i) { return sections.at(i); };
+    return shape;
+}
+
+// Requests that reached an upstream, by target.
+std::map<std::string, size_t> runsOf(Fleet& fleet)
+{
+    std::map<std::string, size_t> runs;
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        nlohmann::json counts = fleet.counts(i);
+        for (const auto& [target, count] : counts["targets"].items())
+            runs[target] += count.get<size_t>();
+    }
+    return runs;
+}
+
+void checkAnswers(
+    const std::map<std::string, size_t>& allRuns, const std::vector<Sent>& sent, const std::string& context)
+{
+    for (const Sent& it : sent) {
+        const CallerResponse& response = it.response;
+        auto found = allRuns.find(it.target);
+        size_t runs = it.isOrder && found != allRuns.end() ? found->second : 0;
+        BOOST_TEST(runs <= 1U, it.target << " ran " << runs << " times; " << context);
+        bool claimsNotRun = response.complete && (response.status == 503 || outcomeOf(response) == "not-run");
+        BOOST_TEST(!(claimsNotRun && runs), it.target << " ran though refused: " << describe(response) << context);
+        bool isOwn = response.body.find(it.target + " ") != std::string::npos;
+        BOOST_TEST((response.status != 200 || !response.complete || isOwn),
+            it.target << " got another answer: " << describe(response) << context);
+    }
+}
+
+void checkBounds(Fleet& fleet, const std::string& context)
+{
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        auto [resident, descriptors] = fleet.node(i).process->usage();
+        BOOST_TEST(resident < maxResidentKiB, "node " << i << " holds " << resident << " KiB; " << context);
+        BOOST_TEST(descriptors < maxDescriptors, "node " << i << " holds " << descriptors << " fds; " << context);
+    }
+}
+
+void soak(uint64_t seed, Clock::duration length)
+{
+    std::vector<std::unique_ptr<FaultProxy>> paths;
+    Fleet fleet(soakShape(paths));
+    std::vector<Caller> callers;
+    callers.reserve(callerCount);
+    for (size_t i = 0; i < callerCount; ++i)
+        callers.emplace_back(fleet, seed, i);
+    std::atomic<bool> isStopped { false };
+    std::vector<std::thread> threads;
+    threads.reserve(callerCount);
+    for (Caller& it : callers)
+        threads.emplace_back([&it, &isStopped] { it.run(isStopped); });
+    Faults faults(fleet, paths, seed);
+    faults.run(length);
+    std::string context = fmt::format("seed {}: {}", seed, faults.history());
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        bool isServing = waitUntil([&] { return fleet.call(i, "GET", "/read/after").status == 200; }, recoveryTime);
+        BOOST_TEST(isServing, "node " << i << " does not serve again; " << context);
+    }
+    isStopped = true;
+    for (std::thread& it : threads)
+        it.join();
+    auto runs = runsOf(fleet);
+    size_t served = 0;
+    size_t total = 0;
+    for (const Caller& it : callers) {
+        checkAnswers(runs, it.sent(), context);
+        total += it.sent().size();
+        served += static_cast<size_t>(
+            std::ranges::count_if(it.sent(), [](const Sent& each) { return each.response.status == 200; }));
+    }
+    checkBounds(fleet, context);
+    BOOST_TEST(served > 0U);
+    BOOST_TEST_MESSAGE("seed " << seed << ": " << served << " of " << total << " served; " << faults.history());
+}
+
+} // namespace
+
+// Guards against a promise that holds under each fault alone and not when several come together.
+BOOST_AUTO_TEST_CASE(promisesHoldUnderOverlappingFaults)
+{
+    uint64_t first = numberFrom("GM_SOAK_SEED", defaultSeed);
+    uint64_t count = numberFrom("GM_SOAK_COUNT", 1);
+    auto length = std::chrono::seconds(
+        numberFrom("GM_SOAK_SECONDS", static_cast<uint64_t>(std::chrono::seconds(defaultLength).count())));
+    for (uint64_t seed = first; seed < first + count; ++seed)
+        soak(seed, length);
+}
--- a/tests/FleetHarness.h
+++ b/tests/FleetHarness.h
@@ -90,6 +90,21 @@
         return !m_status;
     }
 
+    // Resident memory in KiB and open descriptors; zeros when the process is gone.
+    std::pair<size_t, size_t> usage() const
+    {
+        std::filesystem::path entry = fmt::format("/proc/{}", m_pid);
+        size_t resident = 0;
+        std::ifstream file(entry / "status");
+        for (std::string line; std::getline(file, line);) {
+            if (line.starts_with("VmRSS:"))
+                resident = std::stoul(line.substr(6));
+        }
+        std::error_code ec;
+        auto descriptors = std::filesystem::directory_iterator(entry / "fd", ec);
+        return { resident, static_cast<size_t>(std::distance(begin(descriptors), end(descriptors))) };
+    }
+
     // Exit code; nothing when the process runs on or was ended by a signal.
     std::optional<int> exitCode(Clock::duration limit = eventLimit)
     {
