Keep the HTTP library from resending a request when a kept connection closes

Cause: libsoup resends an idempotent request by itself when its kept connection closes before the response. The upstream gets it twice, and the retry budget counts neither the second arrival nor what follows from it. The class of fault: attempts below the layer that counts attempts.

Change: a call whose message restarts is cancelled before anything is written again and fails as a crashed upstream. The entry decides whether to repeat it, within the budget. Requests that must not be repeated already had a new connection each.

Result: DataPathTests/closedKeptConnectionIsOneArrival sent 20 of 20 requests twice before the change and none after it. DataPathTests, PathOutcomeTests and QueryOfDeathDataPathTests pass.

--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -77,6 +77,13 @@
         self->m_socket = self->m_sockets->find(connection);
 }
 
+// libsoup resends an idempotent request when its kept connection closes before the response. Only the entry may repeat
+// a request, within the retry budget.
+void UpstreamCall::onRestarted(SoupMessage* /*message*/, gpointer data)
+{
+    g_cancellable_cancel(static_cast<UpstreamCall*>(data)->m_cancellable.get());
+}
+
 void UpstreamCall::onNetworkEvent(
     SoupMessage* /*message*/, GSocketClientEvent event, GIOStream* connection, gpointer data)
 {
@@ -128,6 +135,7 @@
     m_allowsCloseDelimitedResponse = request.allowsCloseDelimitedResponse;
     setBody(std::move(request));
     g_signal_connect(m_message.get(), "starting", G_CALLBACK(onStarting), this);
+    g_signal_connect(m_message.get(), "restarted", G_CALLBACK(onRestarted), this);
     g_signal_connect(m_message.get(), "network-event", G_CALLBACK(onNetworkEvent), this);
     m_connectTimer = callAfter(context, connectTimeout, [this] {
         m_connectTimedOut = true;
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -15,7 +15,7 @@
     std::string method;
     std::string target;
     std::vector<Header> headers;
-    bool repeatable = false; // if false, sent on a new connection, so that libsoup cannot resend it
+    bool repeatable = false; // if false, sent on a new connection
     int64_t bodyLength = 0; // bytes; -1: unknown, the body is sent in chunks
     std::optional<std::string> body; // the whole body; nullopt: the body is streamed by pushBody()
     Duration timeUntilDeadline {}; // sent to the upstream in the deadline header
@@ -40,7 +40,8 @@
     std::map<guint64, ObjectHandle<GSocket>> m_sockets;
 };
 
-// One request sent to the upstream. Handlers run on the task of the client, never after cancel().
+// One request sent to the upstream, at most once: a kept connection that closes before the response is a failure.
+// Handlers run on the task of the client, never after cancel().
 class UpstreamCall : public std::enable_shared_from_this<UpstreamCall> {
 public:
     struct Handlers {
@@ -75,6 +76,7 @@
     void release();
     RefusalReason reasonOf(const GError*) const;
     static void onStarting(SoupMessage*, gpointer);
+    static void onRestarted(SoupMessage*, gpointer);
     static void onNetworkEvent(SoupMessage*, GSocketClientEvent, GIOStream*, gpointer);
 
     std::shared_ptr<Handlers> m_handlers;
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -261,6 +261,22 @@
     }
 }
 
+// Guards against arrivals that no budget counts: the HTTP library resends after a kept connection closes.
+BOOST_AUTO_TEST_CASE(closedKeptConnectionIsOneArrival)
+{
+    FleetOptions options;
+    options.entryHooks.allowRetry = [](const Service&) { return false; };
+    TestFleet fleet(options);
+    HttpCaller caller(fleet.port());
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(caller.request("GET", "/read/opens").status == 200); // leaves a connection to the upstream open
+        std::string target = fmt::format("/read/closed-{}", i);
+        auto response = caller.request("GET", target, closeConnectionFault);
+        BOOST_TEST(response.status == 502);
+        BOOST_TEST(fleet.upstream().count(target) == 1U);
+    }
+}
+
 // Guards against failing a repeatable request after a single upstream failure, and against unlimited retries.
 BOOST_AUTO_TEST_CASE(repeatableRequestIsTriedElsewhereWithinBudget)
 {
