Keep the retry burst of the fleet through restarts and lost nodes

Cause: the fleet's burst is kept as a sum of local guesses. A restarted process forgot what its node had spent in the last 10 s and began with a full part of the burst, and it divided the burst by the few nodes that it knew so far; a node that lost sight of others, or took them for lost, took over their part while they spent on. Each entry worker of a node also held a whole part. Callers saw more repeats than the budget allows after kills and restarts in series.

Change: a new process gets no burst until a whole window has passed since its start, or, when the fleet starts for the first time, until it knows the others. The divisor is the largest number of nodes seen within the last hour, times the workers of a node.

--- a/src/core/RetryBudget.cpp
+++ b/src/core/RetryBudget.cpp
@@ -1,6 +1,7 @@
 #include "RetryBudget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Gooseberrymill {
 
@@ -46,7 +47,21 @@
     // The oldest bucket counts only for retries. This way the window for retries is never shorter than that for
     // offered requests.
     offered -= m_buckets[static_cast<size_t>(m_currentSecond + 1) % bucketCount].offered;
-    return std::max(0.0, m_burst + m_share * static_cast<double>(offered) - static_cast<double>(acquired));
+    double burst = now < m_burstFrom ? 0 : m_burst;
+    return std::max(0.0, burst + m_share * static_cast<double>(offered) - static_cast<double>(acquired));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] FleetSize
+//-----------------------------------------------------------------------------
+
+void FleetSize::record(uint32_t liveNodes, Instant now)
+{
+    if (now - m_periodStart >= memory) {
+        m_previous = std::exchange(m_current, 1);
+        m_periodStart = now;
+    }
+    m_current = std::max(m_current, liveNodes);
 }
 
 //-----------------------------------------------------------------------------
--- a/src/core/RetryBudget.h
+++ b/src/core/RetryBudget.h
@@ -3,6 +3,7 @@
 
 #include "Configuration.h"
 
+#include <algorithm>
 #include <map>
 
 namespace Gooseberrymill {
@@ -27,6 +28,12 @@
     double available(Instant now); // number of retries that the budget allows now
     void setBurst(double burst) { m_burst = burst; } // retries allowed in any 10 s in addition to the share
     void setShare(double share) { m_share = share; }
+    // No burst before `time`. A process that replaces another one does not know what that one has spent: it passes the
+    // time at which a whole window has passed since its start.
+    void withholdBurst(Instant time) { m_burstFrom = time; }
+
+    // Time after which a retry no longer counts.
+    static constexpr Duration window() { return bucketLength * bucketCount; }
 
 private:
     static constexpr size_t bucketCount = 11; // 10 complete seconds and the current one
@@ -42,10 +49,26 @@
 
     double m_share;
     double m_burst = 0;
+    Instant m_burstFrom {}; // the burst counts from this time on
     std::array<Bucket, bucketCount> m_buckets {}; // ring buffer with one bucket per second
     int64_t m_currentSecond = 0; // number of the second that the newest bucket counts
 };
 
+// Number of nodes that share a fleet-wide allowance: the largest one seen within at least `memory`. Nodes that are cut
+// off or taken for lost may still spend, so a node must not take over their part.
+class FleetSize {
+public:
+    static constexpr Duration memory = 1h; // longer than partitions between regions usually last
+
+    void record(uint32_t liveNodes, Instant now); // call it again and again, also without a change
+    uint32_t largest() const { return std::max(m_previous, m_current); }
+
+private:
+    uint32_t m_previous = 1; // largest number of the period before
+    uint32_t m_current = 1; // largest number since m_periodStart
+    Instant m_periodStart {};
+};
+
 // Retry budgets of all services at one entry worker. Each access applies the share that the service is currently
 // configured with.
 class RetryBudgets {
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -1,7 +1,6 @@
 #include "DirectoryControl.h"
 
 #include "core/DirectorySync.h"
-#include "core/RetryBudget.h"
 #include "Log.h"
 #include "NodeRecordJson.h"
 
@@ -27,6 +26,7 @@
 constexpr Duration peerTimeout = 1s; // for the reply to a notice
 constexpr Duration lostNodeTimeout = 8s; // a node that answers no notice for this long is considered gone
 constexpr uint32_t failedNoticesUntilLost = 5; // minimum, besides lostNodeTimeout
+constexpr Duration fleetDiscoveryTime = 3s; // a node of a fleet that starts for the first time then knows the others
 constexpr size_t peersComparedWhenIsolated = 2;
 constexpr size_t neighboursComparedAtStart = 2; // two, as one of them may have just started as well
 constexpr std::string_view recordKindPrefix = "nodes-"; // followed by the region: one object kind per region
@@ -214,19 +214,21 @@
     });
 }
 
-// The retry limits apply to the whole fleet, so each node gets a fraction of the burst. Calls that an upstream makes
-// while it runs a retried request also count as retries, but pass through another entry that cannot tell. The factor
-// 0.8 leaves room for them.
+// The retry limits apply to the whole fleet, so each entry worker of each node gets a fraction of the burst. Calls that
+// an upstream makes while it runs a retried request also count as retries, but pass through another entry that cannot
+// tell. The factor 0.8 leaves room for them.
 EntryHooks DirectoryControl::entryHooks()
 {
     constexpr double nodeFraction = 0.8;
     auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
-    auto budgetOf = [this, budgets](const Service& service) -> RetryBudget& {
+    Instant burstFrom = m_startedAt + (m_settings.isFleetFirstStart ? fleetDiscoveryTime : RetryBudget::window());
+    auto budgetOf = [this, budgets, burstFrom](const Service& service) -> RetryBudget& {
         double share = m_settings.retryShare > 0 ? m_settings.retryShare : service.retry.budgetShare;
         RetryBudget& budget = budgets->try_emplace(service.name, share * nodeFraction).first->second;
+        uint32_t entries = m_nodeCount.load(std::memory_order_relaxed) * std::max(1U, m_settings.workers);
         budget.setShare(share * nodeFraction);
-        budget.setBurst(
-            nodeFraction * m_settings.retryBurst / std::max(1U, m_nodeCount.load(std::memory_order_relaxed)));
+        budget.setBurst(nodeFraction * m_settings.retryBurst / entries);
+        budget.withholdBurst(burstFrom);
         return budget;
     };
     EntryHooks hooks;
@@ -517,7 +519,7 @@
 
 void DirectoryControl::directoryChanged()
 {
-    m_nodeCount = static_cast<uint32_t>(m_directory->liveCount());
+    recordFleetSize(currentInstant());
     m_node->setCandidates(std::make_shared<const CandidateList>(m_directory->candidates()));
     CrashSuspects::Peers peers;
     peers[m_settings.upstreamService];
@@ -533,6 +535,12 @@
     });
 }
 
+void DirectoryControl::recordFleetSize(Instant now)
+{
+    m_fleetSize.record(static_cast<uint32_t>(m_directory->liveCount()), now);
+    m_nodeCount = m_fleetSize.largest();
+}
+
 void DirectoryControl::sendNotices(Instant now)
 {
     bool isIsolated = now - std::max(m_lastPeerContact, m_startedAt) > isolationTimeout;
@@ -563,6 +571,7 @@
 {
     Instant now = currentInstant();
     m_directory->tick(now);
+    recordFleetSize(now);
     if (!m_isStopping && !m_isRegistering && !m_recordVersion && now >= m_nextStoreAttempt)
         registerNode();
     readOwnRegion(now);
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -11,6 +11,7 @@
 #include "AdminServer.h"
 #include "ConfigurationDriver.h"
 #include "core/NodeDirectory.h"
+#include "core/RetryBudget.h"
 #include "core/UpstreamRegistration.h"
 #include "CrashSuspects.h"
 #include "Metrics.h"
@@ -75,6 +76,7 @@
     void onReply(const std::string& peer, const Result<RelayMessage>&);
     DirectoryReply onNotice(const DirectoryNotice&);
     void directoryChanged(); // passes the new candidates and peers to the data plane
+    void recordFleetSize(Instant now);
     void recordNoticeFailure(const std::string& peer); // declares the peer lost after enough failures
     void sendNotices(Instant now);
 
@@ -107,7 +109,8 @@
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
     uint16_t m_adminPort = 0;
     std::atomic<uint64_t> m_configurationDigest { 0 }; // digest of the configuration; read by the entry workers
-    std::atomic<uint32_t> m_nodeCount { 1 }; // live nodes including this one; read by the entry workers
+    FleetSize m_fleetSize;
+    std::atomic<uint32_t> m_nodeCount { 1 }; // FleetSize::largest(); read by the entry workers
     WatchRole m_role = WatchRole::None;
     bool m_isStoreReachable = false; // the last call of the configuration driver succeeded
     Instant m_watchBackoffUntil {}; // after a failed store call, this node does not watch before this time
--- a/tests/RetryBudgetTests.cpp
+++ b/tests/RetryBudgetTests.cpp
@@ -236,3 +236,55 @@
     }
     BOOST_TEST(retries >= 0.8 * share * requests);
 }
+
+// Guards against a restart that refills the burst: restarts in series would spend the fleet's burst several times.
+BOOST_AUTO_TEST_CASE(restartsInSeriesSpendTheBurstOnce)
+{
+    constexpr uint32_t nodes = 36;
+    constexpr double slack = 62;
+    constexpr int restarts = 5;
+    uint32_t taken = 0;
+    for (uint32_t node = 0; node < nodes; ++node) {
+        RetryBudget budget(0.2);
+        budget.setBurst(slack / nodes);
+        for (int i = 0; i < restarts; ++i) {
+            while (budget.tryAcquire(at(1s * i)))
+                ++taken;
+            budget = RetryBudget(0.2);
+            budget.setBurst(slack / nodes);
+            budget.withholdBurst(at(1s * i) + RetryBudget::window());
+        }
+        while (budget.tryAcquire(at(9s)))
+            ++taken;
+    }
+    BOOST_TEST(taken <= slack);
+    BOOST_TEST(taken > 0U);
+}
+
+// Guards against a burst that a restarted node never gets back, and against a share that is withheld with it.
+BOOST_AUTO_TEST_CASE(burstReturnsAfterOneWindow)
+{
+    RetryBudget budget(0.2);
+    budget.setBurst(1);
+    budget.withholdBurst(at(1s) + RetryBudget::window());
+    for (int i = 0; i < 5; ++i)
+        budget.offered(at(2s));
+    BOOST_TEST(budget.tryAcquire(at(2s)));
+    BOOST_TEST(!budget.tryAcquire(at(11s)));
+    BOOST_TEST(budget.tryAcquire(at(13s)));
+    BOOST_TEST(!budget.tryAcquire(at(13s)));
+}
+
+// Guards against a node that takes over the part of nodes which it has lost sight of, but which may still spend.
+BOOST_AUTO_TEST_CASE(lostNodesKeepTheirPartOfTheBurst)
+{
+    FleetSize size;
+    BOOST_TEST(size.largest() == 1U);
+    size.record(36, at(0s));
+    size.record(2, at(10s));
+    BOOST_TEST(size.largest() == 36U);
+    size.record(2, at(FleetSize::memory));
+    BOOST_TEST(size.largest() == 36U);
+    size.record(2, at(2 * FleetSize::memory)); // the fleet has really shrunk
+    BOOST_TEST(size.largest() == 2U);
+}
