Charge the retry budget for calls that a retry makes

Cause: calls of a repeated run count as repeats at the called service, but enter at the node beside its upstream as first requests. No budget knew of them; only a margin of a fifth was left.

Change: the entry tells the executor that an attempt is a retry (RequestContext, relay version 5; not sent to version 4). The executor counts the requests and the retries that it runs, and the entry of the same node charges each request with the probability that it is a call of a retry. A charge is never refused; it takes the room of retries granted there.

--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -46,6 +46,14 @@
     }
 };
 
+// What the entry knows about a request besides its head. Sent before the head, and only if a field differs from its
+// default.
+struct RequestContext {
+    bool isRetry = false; // an earlier attempt of the request has reached an upstream
+    template <class Archive> void serialize(Archive& archive) { archive(isRetry); }
+    bool operator==(const RequestContext&) const = default;
+};
+
 // The executor has received the head of the request and is ready to run it. It does not run the request before the end
 // of the body, so an entry that gets no reply may try another executor at once.
 struct Continue {
--- a/src/core/RetryBudget.cpp
+++ b/src/core/RetryBudget.cpp
@@ -35,11 +35,17 @@
     return true;
 }
 
+void RetryBudget::charge(double retries, Instant now)
+{
+    advance(now);
+    current().acquired += retries;
+}
+
 double RetryBudget::available(Instant now)
 {
     advance(now);
     uint64_t offered = 0;
-    uint64_t acquired = 0;
+    double acquired = 0;
     for (const Bucket& it : m_buckets) {
         offered += it.offered;
         acquired += it.acquired;
@@ -48,7 +54,7 @@
     // offered requests.
     offered -= m_buckets[static_cast<size_t>(m_currentSecond + 1) % bucketCount].offered;
     double burst = now < m_burstFrom ? 0 : m_burst;
-    return std::max(0.0, burst + m_share * static_cast<double>(offered) - static_cast<double>(acquired));
+    return std::max(0.0, burst + m_share * static_cast<double>(offered) - acquired);
 }
 
 //-----------------------------------------------------------------------------
--- a/src/core/RetryBudget.h
+++ b/src/core/RetryBudget.h
@@ -26,6 +26,8 @@
     void offered(Instant now); // counts a request that arrived from a caller
     bool tryAcquire(Instant now); // counts one more attempt and returns true if the budget allows it
     double available(Instant now); // number of retries that the budget allows now
+    // Counts arrivals at the service that are retries but were not granted here. Never refused; may be fractional.
+    void charge(double retries, Instant now);
     void setBurst(double burst) { m_burst = burst; } // retries allowed in any 10 s in addition to the share
     void setShare(double share) { m_share = share; }
     // No burst before `time`. A process that replaces another one does not know what that one has spent: it passes the
@@ -41,7 +43,7 @@
 
     struct Bucket {
         uint32_t offered = 0; // requests that arrived in this second
-        uint32_t acquired = 0; // retries granted in this second
+        double acquired = 0; // retries granted or charged in this second
     };
 
     void advance(Instant now);
--- a/src/node/AttemptPlan.h
+++ b/src/node/AttemptPlan.h
@@ -40,6 +40,7 @@
     bool acquireRetry(bool dispatched, RefusalReason reason, bool isBodyReplayable)
     {
         bool reachedUpstream = dispatched || reason == RefusalReason::UpstreamShed;
+        m_hasReachedUpstream = m_hasReachedUpstream || reachedUpstream;
         m_dispatchedAttempts += dispatched ? 1 : 0;
         bool mayRetryUndispatched = !dispatched && isRetriableElsewhere(reason);
         bool mayRepeat = dispatched && m_repeatable && isUpstreamFault(reason);
@@ -53,6 +54,7 @@
 
     std::span<const std::string> tried() const { return m_tried; }
     uint32_t attempts() const { return m_attempts; }
+    bool hasReachedUpstream() const { return m_hasReachedUpstream; } // in an attempt that has ended
 
     // Whether another upstream, or the same one later, may serve a request that was refused for this reason.
     static bool isRetriableElsewhere(RefusalReason reason)
@@ -94,6 +96,7 @@
     uint32_t m_maxUndispatchedRetries;
     uint32_t m_dispatchedAttempts = 0; // attempts that an upstream may have run; limited by m_maxAttempts
     std::function<bool()> m_allowRetry;
+    bool m_hasReachedUpstream = false;
     uint32_t m_attempts = 0; // all attempts, dispatched or not
     std::vector<std::string> m_tried;
 };
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -167,6 +167,7 @@
     if (m_adapter)
         hooks.headers = m_adapter->headers;
     hooks.rejectsWhenDegraded = true;
+    hooks.running = m_running;
     hooks.started = [this](Task& task) { startExecutorServices(task); };
     hooks.stopped = [services = m_services] {
         services->timer.reset();
@@ -215,11 +216,11 @@
 }
 
 // The retry limits apply to the whole fleet, so each entry worker of each node gets a fraction of the burst. Calls that
-// an upstream makes while it runs a retried request also count as retries, but pass through another entry that cannot
-// tell. The factor 0.8 leaves room for them.
+// an upstream makes while it runs a retry also count as retries. They enter at the node beside it, which cannot tell
+// them from its other requests, so each request is charged with the share of retries that run there.
 EntryHooks DirectoryControl::entryHooks()
 {
-    constexpr double nodeFraction = 0.8;
+    constexpr double nodeFraction = 0.8; // the rest is for charges that exceed the budget of their node
     auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
     Instant burstFrom = m_startedAt + (m_settings.isFleetFirstStart ? fleetDiscoveryTime : RetryBudget::window());
     auto budgetOf = [this, budgets, burstFrom](const Service& service) -> RetryBudget& {
@@ -234,7 +235,12 @@
     EntryHooks hooks;
     if (m_adapter)
         hooks.headers = m_adapter->headers;
-    hooks.offered = [budgetOf](const Service& service) { budgetOf(service).offered(currentInstant()); };
+    hooks.offered = [budgetOf, running = m_running](const Service& service) {
+        Instant now = currentInstant();
+        RetryBudget& budget = budgetOf(service);
+        budget.offered(now);
+        budget.charge(running->retryShare(), now);
+    };
     hooks.allowRetry = [budgetOf](const Service& service) { return budgetOf(service).tryAcquire(currentInstant()); };
     hooks.configurationDigest = [this] { return m_configurationDigest.load(std::memory_order_relaxed); };
     return hooks;
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -101,6 +101,7 @@
     std::unique_ptr<RelayClient> m_relay;
     MetricsRegistry m_metrics;
     std::shared_ptr<ExecutorServices> m_services;
+    std::shared_ptr<RunningRequests> m_running = std::make_shared<RunningRequests>();
     std::unique_ptr<Node> m_node;
     std::unique_ptr<NodeDirectory> m_directory;
     WatchElection m_election;
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -534,7 +534,8 @@
                 self->updatePause();
             }
         } };
-    m_call = m_worker.m_client.call(candidate.relayAddress, m_head, std::move(handlers));
+    m_call = m_worker.m_client.call(
+        candidate.relayAddress, m_head, std::move(handlers), { .isRetry = m_plan->hasReachedUpstream() });
     pumpBody();
 }
 
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -10,6 +10,7 @@
 #include "RelayServer.h"
 #include "UpstreamClient.h"
 
+#include <atomic>
 #include <map>
 #include <unordered_map>
 
@@ -87,6 +88,19 @@
     RelayServer::Answer<CrashNotice, CrashNoticeReply> notice; // handles crash reports of other nodes
 };
 
+// Requests that run at the upstreams of this node. Written by the executor, read by any task.
+struct RunningRequests {
+    std::atomic<uint32_t> total { 0 };
+    std::atomic<uint32_t> retries { 0 }; // those of which an earlier attempt has reached an upstream
+
+    // Probability that a call which an upstream of this node makes now belongs to a retry; 0 without a running request.
+    double retryShare() const
+    {
+        double running = total;
+        return running > 0 ? retries / running : 0;
+    }
+};
+
 // Settings and callbacks that adapt an executor to its control plane.
 struct ExecutorHooks {
     HeaderProfile headers;
@@ -96,6 +110,7 @@
     std::function<void(Task&)> started; // called on the executor's task before it listens
     std::function<void()> stopped; // called on the executor's task after the last request
     OperationGate operations;
+    std::shared_ptr<RunningRequests> running = std::make_shared<RunningRequests>();
     // Receives the result of each request that reached an upstream, for health monitoring.
     std::function<void(const std::string& upstream, const Sample&, Instant)> sample;
     CrashGate crashes;
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -258,6 +258,7 @@
         return;
     }
     m_hasSlot = true;
+    countRunning(true);
     m_dispatchedAt = currentInstant();
     UpstreamRequest request { head().requestId, head().method, head().target, head().headers, m_route->repeatable,
         head().bodyLength, std::nullopt, std::max(m_deadline - currentInstant(), Duration {}) };
@@ -465,12 +466,21 @@
     }
     if (!std::exchange(m_hasSlot, false))
         return;
+    countRunning(false);
     Duration length = m_call->serviceTime();
     m_upstream->queue->finish(m_ticket, length, completed, now);
     if (kind)
         recordSample(*kind, length);
 }
 
+void ExecutorJob::countRunning(bool isStarting)
+{
+    RunningRequests& running = *m_executor.m_hooks.running;
+    uint32_t change = isStarting ? 1 : -1;
+    running.total += change;
+    running.retries += m_exchange->context().isRetry ? change : 0;
+}
+
 void ExecutorJob::recordSample(SampleKind kind, Duration length)
 {
     if (kind != SampleKind::Cancelled && kind != SampleKind::Shed)
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -39,6 +39,7 @@
     void onResponseEnd();
     void onFailure(UpstreamFailure&&);
     void finishFailure(const UpstreamFailure&, Duration length, bool isCrash);
+    void countRunning(bool isStarting);
     void recordSample(SampleKind, Duration length);
     void onCancelled();
     void streamHead();
--- a/src/node/RelayClient.cpp
+++ b/src/node/RelayClient.cpp
@@ -78,8 +78,9 @@
 // [SECTION] RelayCall
 //-----------------------------------------------------------------------------
 
-RelayCall::RelayCall(RequestHead head, Handlers handlers)
+RelayCall::RelayCall(RequestHead head, RequestContext context, Handlers handlers)
     : m_head(std::move(head))
+    , m_context(context)
     , m_handlers(std::make_shared<Handlers>(std::move(handlers)))
 {
 }
@@ -89,6 +90,8 @@
 {
     m_connection = std::move(connection);
     m_release = std::move(release);
+    if (m_context != RequestContext {} && m_connection->isUnderstood(m_context))
+        m_connection->queue(m_context);
     m_queuedBytesBeforeHead = m_connection->queuedBytes();
     std::weak_ptr<RelayCall> weak = weak_from_this();
     m_connection->setHandlers({
@@ -243,9 +246,10 @@
 
 RelayClient::~RelayClient() { *m_alive = false; }
 
-std::shared_ptr<RelayCall> RelayClient::call(const std::string& address, RequestHead head, RelayCall::Handlers handlers)
+std::shared_ptr<RelayCall> RelayClient::call(
+    const std::string& address, RequestHead head, RelayCall::Handlers handlers, RequestContext context)
 {
-    auto call = std::make_shared<RelayCall>(std::move(head), std::move(handlers));
+    auto call = std::make_shared<RelayCall>(std::move(head), context, std::move(handlers));
     auto start = [this, alive = m_alive, address, call](Result<std::shared_ptr<RelayConnection>> result) {
         if (!*alive)
             return;
--- a/src/node/RelayClient.h
+++ b/src/node/RelayClient.h
@@ -20,7 +20,7 @@
         std::function<void()> writable; // the call got a connection, or can accept more of the body
     };
 
-    RelayCall(RequestHead, Handlers);
+    RelayCall(RequestHead, RequestContext, Handlers);
 
     // True when the body may be sent and the output buffer is below its high watermark.
     bool isWritable() const { return m_connection && m_connection->isWritable() && maySendBody(); }
@@ -46,6 +46,7 @@
     void finish();
 
     RequestHead m_head;
+    RequestContext m_context;
     std::shared_ptr<Handlers> m_handlers;
     std::shared_ptr<RelayConnection> m_connection;
     std::function<void(std::shared_ptr<RelayConnection>)> m_release;
@@ -65,7 +66,7 @@
     ~RelayClient();
 
     // Starts a call, on an idle connection if there is one. No handler runs before call() returns.
-    std::shared_ptr<RelayCall> call(const std::string& address, RequestHead, RelayCall::Handlers);
+    std::shared_ptr<RelayCall> call(const std::string& address, RequestHead, RelayCall::Handlers, RequestContext = {});
 
     // Sends a query or notice and passes the next message of the peer to the callback.
     // `replyTimeout`: longest wait for the reply once connected; 0: no timeout.
--- a/src/node/RelayConnection.h
+++ b/src/node/RelayConnection.h
@@ -21,6 +21,11 @@
     void open(); // sends the Hello and starts reading
     void setHandlers(Handlers handlers) { m_handlers = std::make_shared<Handlers>(std::move(handlers)); }
 
+    // Whether the peer understands the message; false before its Hello was received.
+    bool isUnderstood(const RelayMessage& message) const
+    {
+        return isEstablished() && peerHello().version >= firstVersionOf(message);
+    }
     void queue(const RelayMessage&); // encodes the message; the next flush() sends it
     void flush(); // writes what the socket accepts now, and the rest when it becomes writable
     void send(const RelayMessage& message)
--- a/src/node/RelayFrames.cpp
+++ b/src/node/RelayFrames.cpp
@@ -175,6 +175,7 @@
     maxDirectoryBytes, // directoryNotice
     maxDirectoryBytes, // directoryReply
     64, // continue
+    64, // requestContext
 };
 
 void writeBigEndian(std::string& out, size_t at, uint64_t value, size_t bytes)
@@ -280,6 +281,8 @@
 
 } // namespace
 
+uint16_t firstVersionOf(const RelayMessage& message) { return std::holds_alternative<RequestContext>(message) ? 5 : 1; }
+
 size_t maxPayloadBytes(uint8_t kind)
 {
     return kind >= 1 && kind <= payloadLimits.size() ? payloadLimits.at(kind - 1) : 0;
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -25,9 +25,10 @@
 // [SECTION] RelayExchange
 //-----------------------------------------------------------------------------
 
-RelayExchange::RelayExchange(std::shared_ptr<RelayConnection> connection, RequestHead head)
+RelayExchange::RelayExchange(std::shared_ptr<RelayConnection> connection, RequestHead head, RequestContext context)
     : m_connection(std::move(connection))
     , m_head(std::move(head))
+    , m_context(context)
 {
 }
 
@@ -185,6 +186,8 @@
         onRequest(peer, std::move(*head));
     else if (peer->exchange)
         onBody(peer, std::move(message));
+    else if (auto* context = std::get_if<RequestContext>(&message))
+        peer->nextContext = *context;
     else
         onQuery(peer, std::move(message));
 }
@@ -193,7 +196,8 @@
 {
     if (peer->closing)
         return; // the closing notice already tells the peer that this request was not run
-    peer->exchange = std::make_shared<RelayExchange>(peer->connection, std::move(head));
+    RequestContext context = std::exchange(peer->nextContext, {});
+    peer->exchange = std::make_shared<RelayExchange>(peer->connection, std::move(head), context);
     std::weak_ptr<Peer> weak = peer;
     peer->exchange->m_onAnswered = [this, weak] {
         if (auto self = weak.lock())
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -19,9 +19,10 @@
         std::function<void()> writable; // the unsent output fell to the low watermark after it had reached the high one
     };
 
-    RelayExchange(std::shared_ptr<RelayConnection>, RequestHead);
+    RelayExchange(std::shared_ptr<RelayConnection>, RequestHead, RequestContext);
 
     const RequestHead& head() const { return m_head; }
+    const RequestContext& context() const { return m_context; }
     const std::string& peer() const { return m_connection->peer(); }
     void setHandlers(Handlers handlers) { m_handlers = std::make_shared<Handlers>(std::move(handlers)); }
 
@@ -45,6 +46,7 @@
 
     std::shared_ptr<RelayConnection> m_connection;
     RequestHead m_head;
+    RequestContext m_context;
     std::shared_ptr<Handlers> m_handlers = std::make_shared<Handlers>();
     std::function<void()> m_onAnswered;
     bool m_bodyEnded = false;
@@ -80,6 +82,7 @@
     struct Peer {
         std::shared_ptr<RelayConnection> connection;
         std::shared_ptr<RelayExchange> exchange;
+        RequestContext nextContext; // of the request whose head follows
         bool closing = false; // the closing notice was sent
     };
 
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -296,6 +296,31 @@
         BOOST_TEST(caller.request("POST", "/order/y", {}, "body").status == 200); // never run at the crashed upstream
 }
 
+// Guards against calls of a retry that nobody counts as retries: the node beside the upstream must know that it runs
+// one.
+BOOST_AUTO_TEST_CASE(executorKnowsThatItRunsARetry)
+{
+    std::vector<ExecutorHooks> hooks(2);
+    TestFleet fleet({ .nodes = 2, .makeExecutorHooks = [&](size_t i) { return hooks[i]; } });
+    HttpCaller(fleet.upstream(0).port()).request("POST", "/.stand-in/faults?fault=close");
+    HttpCaller(fleet.upstream(1).port()).request("POST", "/.stand-in/faults?fault=slow&delayMs=500");
+    const RunningRequests& running = *hooks[1].running;
+    bool hasRetried = false;
+    for (int i = 0; i < 20 && !hasRetried; ++i) {
+        std::string target = fmt::format("/read/{}", i);
+        auto response = std::async([&] { return HttpCaller(fleet.port()).request("GET", target).status; });
+        BOOST_TEST(fleet.upstream(1).waitForCount(target, 1));
+        hasRetried = fleet.upstream(0).count(target) == 1;
+        BOOST_TEST(running.retryShare() == (hasRetried ? 1 : 0));
+        BOOST_TEST(response.get() == 200);
+    }
+    BOOST_TEST(hasRetried);
+    for (int i = 0; i < 500 && running.total; ++i)
+        std::this_thread::sleep_for(10ms);
+    BOOST_TEST(running.total == 0U);
+    BOOST_TEST(running.retries == 0U);
+}
+
 // Guards against a refusal with outcome "not run" for a request that reached the upstream, and against a refusal with
 // another outcome when the request is known not to have run.
 BOOST_AUTO_TEST_CASE(refusalsAreTrue)
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -78,7 +78,7 @@
         Cancel { { 1, 1 } }, TokenQuery { { 2, 2 }, "shop" }, TokenReply { { 3, 3 }, { 4, 4 }, { 5, 5 }, 6 },
         ConfigurationQuery { { { "main", 3, "", "", "" } } }, reply, largestNotice(),
         CrashNoticeReply { { { { 6, 7 }, 8, 9 } }, { 10 } }, notice, DirectoryReply { 15, 16, notice.records, { 17 } },
-        Continue { { 18, 19 } } };
+        Continue { { 18, 19 } }, RequestContext { true } };
 }
 
 void appendBigEndian(std::string& out, uint64_t value, size_t bytes)
@@ -369,3 +369,10 @@
     Pair pair;
     BOOST_TEST(encoded(pair.client, BodyChunk { std::string(8192, 'z') }).size() > 8192U);
 }
+
+// Guards against a message that a node of the release before cannot decode, which closes the connection.
+BOOST_AUTO_TEST_CASE(newMessagesNeedANewPeer)
+{
+    for (const RelayMessage& message : sampleMessages())
+        BOOST_TEST(firstVersionOf(message) == (std::holds_alternative<RequestContext>(message) ? 5 : 1));
+}
--- a/tests/RetryBudgetTests.cpp
+++ b/tests/RetryBudgetTests.cpp
@@ -288,3 +288,19 @@
     size.record(2, at(2 * FleetSize::memory)); // the fleet has really shrunk
     BOOST_TEST(size.largest() == 2U);
 }
+
+// Guards against calls of retries that come on top of the budget of the service that they call.
+BOOST_AUTO_TEST_CASE(chargedRetriesTakeTheRoomOfGrantedOnes)
+{
+    RetryBudget budget(0.2);
+    for (int i = 0; i < 20; ++i) {
+        budget.offered(at(1s));
+        budget.charge(0.125, at(1s));
+    }
+    BOOST_TEST(budget.tryAcquire(at(1s)));
+    BOOST_TEST(!budget.tryAcquire(at(1s))); // 4 earned, 2.5 charged, 1 granted
+    budget.charge(100, at(2s));
+    BOOST_TEST(budget.available(at(2s)) == 0.0);
+    budget.setBurst(1);
+    BOOST_TEST(budget.tryAcquire(at(14s))); // charges expire like granted retries
+}
