Count granted and denied retries, and log each denial

Cause: the logs and metrics of a node did not show whether its retry budget granted or denied a retry, so the hypotheses of the incident could only be told apart with a changed binary.

Change: the counters retries_granted_total and retries_denied_total, and a line retry.denied with the service, what is left and the number of nodes that share the burst.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -241,7 +241,17 @@
         budget.offered(now);
         budget.charge(running->retryShare(), now);
     };
-    hooks.allowRetry = [budgetOf](const Service& service) { return budgetOf(service).tryAcquire(currentInstant()); };
+    hooks.allowRetry = [this, budgetOf](const Service& service) {
+        Instant now = currentInstant();
+        RetryBudget& budget = budgetOf(service);
+        bool isGranted = budget.tryAcquire(now);
+        (isGranted ? m_retriesGranted : m_retriesDenied).add();
+        if (!isGranted)
+            log(LogLevel::Info, "retry.denied",
+                { { "service", service.name }, { "available", budget.available(now) },
+                    { "nodes", m_nodeCount.load(std::memory_order_relaxed) } });
+        return isGranted;
+    };
     hooks.configurationDigest = [this] { return m_configurationDigest.load(std::memory_order_relaxed); };
     return hooks;
 }
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -100,6 +100,10 @@
     std::unique_ptr<StoreClient> m_store;
     std::unique_ptr<RelayClient> m_relay;
     MetricsRegistry m_metrics;
+    Counter& m_retriesGranted = m_metrics.counter(
+        "retries_granted_total", "Attempts at another upstream after one that reached an upstream.");
+    Counter& m_retriesDenied
+        = m_metrics.counter("retries_denied_total", "Such attempts that the retry budget did not allow.");
     std::shared_ptr<ExecutorServices> m_services;
     std::shared_ptr<RunningRequests> m_running = std::make_shared<RunningRequests>();
     std::unique_ptr<Node> m_node;
