Keep the rate limit that an upstream names, over all entries and through restarts

Cause: an upstream in need names the requests a second that it takes from the whole fleet, and nothing read it. A limit kept by each entry would not do, since 36 entries cannot split one request a second.

Change: the executor beside the upstream, which sees all its arrivals, applies the limit as a token bucket in front of its queue. The executor passes the limit on to the entries with each response (UpstreamNotice, relay version 5). The entries place requests elsewhere until the next token, and return the notice with each request, so that a restarted executor learns the limit before the upstream names it again, and starts without tokens. A request that no other upstream takes waits up to a second for a token; what cannot be served is rejected at once with the time to come back.

--- a/src/core/Admission.h
+++ b/src/core/Admission.h
@@ -13,6 +13,7 @@
     WorkClass workClass = WorkClass::Interactive;
     uint32_t workKey = 0; // kind of work, the route index; service times are estimated per key
     Instant deadline {};
+    bool mayWaitForRate = false; // no other upstream is left, so it may wait while the rate limit allows no request
 };
 
 enum class AdmissionVerdict : uint8_t {
--- a/src/core/AdmissionQueue.cpp
+++ b/src/core/AdmissionQueue.cpp
@@ -21,6 +21,7 @@
 constexpr Duration estimateLifetime = 10s; // an estimate without new samples expires, or it could refuse work forever
 constexpr Duration minRetryAfter = 1s;
 constexpr Duration maxRetryAfter = 30s;
+constexpr Duration maxRateWait = 1s; // a caller that must wait longer for the rate limit is told when to come back
 
 double micros(Duration duration) { return static_cast<double>(duration.count()); }
 
@@ -302,6 +303,9 @@
 
 void AdmissionQueue::dispatch(const Waiting& request, Instant now)
 {
+    bool hasToken = m_rate.tryTake(now);
+    assert(hasToken && "dispatched without a token of the rate limit");
+    (void)hasToken;
     charge(m_classes[static_cast<size_t>(request.workClass)], request.expected);
     auto concurrency = static_cast<uint32_t>(m_running.size()) + 1;
     bool isNew
@@ -341,6 +345,10 @@
     if (request.deadline <= now)
         return refuse(RefusalReason::DeadlineExceeded, {});
     dropUnreachable(now);
+    if (Duration wait = rateWait(now); wait > Duration::zero()) {
+        bool mayWait = request.mayWaitForRate && wait <= maxRateWait;
+        return mayWait ? queueForRate(waiting, wait, now) : refuse(RefusalReason::RateLimited, wait);
+    }
     if (m_running.empty() && m_waitingClass.empty()) {
         // An idle upstream accepts work even if the estimate exceeds the deadline: only new samples can correct the
         // estimate.
@@ -372,6 +380,17 @@
     return refuse(RefusalReason::QueueFull, wait);
 }
 
+AdmissionDecision AdmissionQueue::queueForRate(const Waiting& request, Duration wait, Instant now)
+{
+    if (now + wait + highServiceTime(request.workKey, now) > request.deadline)
+        return refuse(RefusalReason::RateLimited, wait);
+    enqueue(request, isLong(request.workKey, now));
+    if (m_waitingClass.size() <= m_policy.queueLimit || makeRoomFor(request))
+        return { .verdict = AdmissionVerdict::Queued };
+    cancel(request.ticket, now);
+    return refuse(RefusalReason::QueueFull, wait);
+}
+
 void AdmissionQueue::finish(TicketId ticket, Duration serviceTime, bool completed, Instant now)
 {
     auto it = m_running.find(ticket);
@@ -431,7 +450,8 @@
 
 std::optional<TicketId> AdmissionQueue::takeReady(Instant now)
 {
-    if (m_running.size() >= m_limit.value())
+    bool hasToken = m_rate.timeUntil(1, now) == Duration::zero();
+    if (m_running.size() >= m_limit.value() || !hasToken)
         return std::nullopt;
     dropUnreachable(now);
     const Waiting* next = pickNext(now);
--- a/src/core/AdmissionQueue.h
+++ b/src/core/AdmissionQueue.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "Admission.h"
+#include "RateLimiter.h"
 #include <deque>
 #include <set>
 #include <unordered_map>
@@ -94,6 +95,10 @@
     std::optional<AdmissionRefusal> takeRefusal(Instant now);
     LoadReport report() const;
 
+    void setRate(std::optional<double> perSecond, Instant now) { m_rate.setRate(perSecond, now); }
+    // Time until the rate limit allows another request after those that wait; 0 without a limit.
+    Duration rateWait(Instant now) const { return m_rate.timeUntil(m_waitingClass.size() + 1, now); }
+
     uint32_t limit() const { return m_limit.value(); }
     Duration highServiceTime(uint32_t workKey, Instant now) const; // 90th percentile; zero while unknown or outdated
     bool isLong(uint32_t workKey, Instant now) const; // its median exceeds longWorkRatio times the service's median
@@ -147,12 +152,14 @@
     void dispatch(const Waiting& request, Instant now);
     void charge(ClassQueue& queue, Duration cost);
     bool makeRoomFor(const Waiting& request);
+    AdmissionDecision queueForRate(const Waiting& request, Duration wait, Instant now);
     AdmissionDecision refuse(RefusalReason reason, Duration wait) const;
     void dropUnreachable(Instant now);
     double weightOf(size_t index) const;
 
     AdmissionPolicy m_policy;
     ConcurrencyLimit m_limit;
+    RateLimiter m_rate;
     std::array<ClassQueue, workClassCount> m_classes;
     std::unordered_map<TicketId, WorkClass> m_waitingClass;
     std::unordered_map<TicketId, Running> m_running;
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -114,7 +114,8 @@
     }
     std::erase_if(m_loads, [&](const auto& entry) {
         const UpstreamLoad& load = *entry.second;
-        return !load.outstanding && now - load.reportedAt > m_options.reportLifetime && !used.contains(&load);
+        bool isIdle = !load.outstanding && now - load.reportedAt > m_options.reportLifetime && now >= load.pausedUntil;
+        return isIdle && !used.contains(&load);
     });
     std::erase_if(
         m_paths, [&](const auto& entry) { return now - entry.second.blockedUntil > m_options.maxPathBackoff; });
@@ -254,7 +255,7 @@
         return false;
     if (pass == Pass::LastResort)
         return true;
-    if (isBlocked(*member.candidate, now))
+    if (isBlocked(*member.candidate, now) || now < member.load->pausedUntil)
         return false;
     switch (pass) {
     case Pass::Free:
@@ -438,6 +439,8 @@
     load.outstanding -= std::min(load.outstanding, 1U);
 }
 
+void Balancer::pause(std::string_view upstream, Instant until) { loadOf(upstream).pausedUntil = until; }
+
 void Balancer::pathResult(std::string_view node, bool reached, Instant now)
 {
     auto it = m_paths.find(node);
--- a/src/core/Balancer.h
+++ b/src/core/Balancer.h
@@ -141,6 +141,8 @@
     void finished(std::string_view upstream, const LoadReport& load, Instant now);
     void abandoned(std::string_view upstream, Instant now);
     void pathResult(std::string_view node, bool reached, Instant now);
+    // The upstream takes no request before `until`; it stays a last resort. A time that has passed ends the pause.
+    void pause(std::string_view upstream, Instant until);
 
     void setEntryCount(uint32_t count) { m_options.entryCount = count; }
     size_t stateBytes() const; // approximate memory used by load states and service views, in bytes
@@ -156,6 +158,7 @@
         uint32_t outstanding = 0; // this entry's requests in flight
         uint32_t outstandingAtReport = 0; // this entry's requests that the report already includes
         uint32_t sinceReport = 0; // requests that this entry sent since the report
+        Instant pausedUntil {}; // its rate limit allows no request before
     };
 
     // Connection failures to one node.
--- a/src/core/Basics.h
+++ b/src/core/Basics.h
@@ -96,6 +96,7 @@
     AnswerNotRecorded, // the operation was executed, but its response is no longer stored
     UpstreamShed, // the upstream rejected the request and states that it did not execute it
     Degraded, // the upstream failed recently; another one should be tried first
+    RateLimited, // the upstream takes no more requests at this moment; since relay version 5
 };
 
 std::string_view toString(Outcome);
--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -46,11 +46,23 @@
     }
 };
 
+// What an upstream process asks of its callers in its responses. The executor beside it passes it on to the entries,
+// which return it with each request for that upstream: an executor that has just started learns it from them.
+struct UpstreamNotice {
+    std::string process; // identity of the process
+    double rate = 0; // requests per second that it takes from the whole fleet; 0: no limit
+    uint32_t waitMs = 0; // from an executor: time until the limit allows another request
+    bool isLeaving = false; // it takes no new requests
+    template <class Archive> void serialize(Archive& archive) { archive(process, rate, waitMs, isLeaving); }
+    bool operator==(const UpstreamNotice&) const = default;
+};
+
 // What the entry knows about a request besides its head. Sent before the head, and only if a field differs from its
 // default.
 struct RequestContext {
     bool isRetry = false; // an earlier attempt of the request has reached an upstream
-    template <class Archive> void serialize(Archive& archive) { archive(isRetry); }
+    UpstreamNotice notice; // the latest one of the upstream; without a process: none
+    template <class Archive> void serialize(Archive& archive) { archive(isRetry, notice); }
     bool operator==(const RequestContext&) const = default;
 };
 
--- a/src/node/AttemptPlan.h
+++ b/src/node/AttemptPlan.h
@@ -69,6 +69,7 @@
         case RefusalReason::UpstreamShed:
         case RefusalReason::Degraded:
         case RefusalReason::DeadlineUnreachable:
+        case RefusalReason::RateLimited:
             return true;
         default:
             return false;
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -653,8 +653,8 @@
 void DirectoryControl::applyUpstream()
 {
     const UpstreamReport& report = *m_upstream.current();
-    m_node->setUpstream(
-        { m_settings.nodeName, report.service, report.address, report.slots, report.state, report.instance });
+    m_node->setUpstream({ m_settings.nodeName, report.service, report.address, report.slots, report.state,
+        report.instance, report.processStartedAt });
     UpstreamRecord record { m_settings.nodeName, report.service, report.slots, report.state, 0, 1 };
     std::vector<UpstreamRecord> upstreams { record };
     if (m_directory->self().upstreams == upstreams)
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -527,15 +527,17 @@
                 ((*self).*method)(std::forward<decltype(arguments)>(arguments)...);
         };
     };
-    RelayCall::Handlers handlers { bind(&EntryExchange::onHead), bind(&EntryExchange::onChunk),
-        bind(&EntryExchange::onEnd), bind(&EntryExchange::onRefusal), bind(&EntryExchange::onCallFailed), [weak] {
+    RelayCall::Handlers handlers { bind(&EntryExchange::onNotice), bind(&EntryExchange::onHead),
+        bind(&EntryExchange::onChunk), bind(&EntryExchange::onEnd), bind(&EntryExchange::onRefusal),
+        bind(&EntryExchange::onCallFailed), [weak] {
             if (auto self = weak.lock(); self && !self->m_finished) {
                 self->pumpBody();
                 self->updatePause();
             }
         } };
-    m_call = m_worker.m_client.call(
-        candidate.relayAddress, m_head, std::move(handlers), { .isRetry = m_plan->hasReachedUpstream() });
+    m_notice = {};
+    RequestContext context { m_plan->hasReachedUpstream(), m_worker.m_hooks.notices->find(m_upstream, m_sentAt) };
+    m_call = m_worker.m_client.call(candidate.relayAddress, m_head, std::move(handlers), std::move(context));
     pumpBody();
 }
 
@@ -559,9 +561,22 @@
     }
 }
 
+void EntryExchange::onNotice(UpstreamNotice&& notice) { m_notice = std::move(notice); }
+
+// Only an answer of the upstream ends what it asked for earlier: an executor that refuses may not have heard of it yet.
+void EntryExchange::applyNotice(bool isAnswered)
+{
+    Instant now = currentInstant();
+    if (!isAnswered && m_notice.process.empty())
+        return;
+    m_worker.m_balancer->pause(m_upstream, now + std::chrono::milliseconds(m_notice.waitMs));
+    m_worker.m_hooks.notices->update(m_upstream, m_notice, now);
+}
+
 void EntryExchange::onHead(ResponseHead&& head)
 {
     Instant now = currentInstant();
+    applyNotice(true);
     m_responseHeadReceived = true;
     m_worker.m_balancer->pathResult(m_node, true, now);
     m_worker.m_balancer->finished(m_upstream, head.load, now);
@@ -626,7 +641,12 @@
     Instant now = currentInstant();
     m_worker.m_balancer->pathResult(m_node, true, now);
     m_worker.m_balancer->finished(m_upstream, refusal.load, now);
+    applyNotice(false);
     m_call.reset();
+    if (refusal.reason == RefusalReason::RateLimited && m_notice.waitMs < m_shortestWaitMs) {
+        m_shortestWaitMs = m_notice.waitMs;
+        m_soonestUpstream = m_upstream;
+    }
     if (refusal.reason == RefusalReason::Degraded && refusal.load.failurePercent < m_leastFailurePercent) {
         m_leastFailurePercent = refusal.load.failurePercent;
         m_leastFailingUpstream = m_upstream;
@@ -720,9 +740,8 @@
     bool isHeldKey = m_head.operationKind == OperationKind::Key && refusal.outcome == Outcome::NotRun;
     bool isBoundToExecutor = m_head.isInquiry || isHeldKey || m_head.operationKind == OperationKind::Token;
     if (isBoundToExecutor || !m_plan->acquireRetry(refusal.dispatched, refusal.reason, m_isBodyReplayable)) {
-        bool isRejectedAsDegraded
-            = !isBoundToExecutor && m_isBodyReplayable && refusal.reason == RefusalReason::Degraded;
-        const Candidate* lastResort = isRejectedAsDegraded ? chooseLastResort() : nullptr;
+        bool mayResend = !isBoundToExecutor && m_isBodyReplayable && hasLastResort(refusal.reason);
+        const Candidate* lastResort = mayResend ? chooseLastResort() : nullptr;
         if (lastResort)
             resendTo(*lastResort, refusal);
         else
@@ -741,7 +760,7 @@
     BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
         m_plan->tried() };
     const Candidate* next = m_worker.m_balancer->choose(request, currentInstant());
-    if (!next && refusal.reason == RefusalReason::Degraded)
+    if (!next && hasLastResort(refusal.reason))
         next = chooseLastResort();
     if (!next)
         return false;
@@ -749,14 +768,21 @@
     return true;
 }
 
-// Every upstream that was tried rejected the request because of recent failures. The one with the lowest failure
-// probability still succeeds more often than a refusal does.
+bool EntryExchange::hasLastResort(RefusalReason reason)
+{
+    return reason == RefusalReason::Degraded || reason == RefusalReason::RateLimited;
+}
+
+// Every upstream that was tried rejected the request because of its rate limit or recent failures. A healthy one whose
+// limit allows a request soon comes first; the one with the lowest failure probability still succeeds more often than a
+// refusal does.
 const Candidate* EntryExchange::chooseLastResort()
 {
-    if (std::exchange(m_head.isLastChoice, true) || m_leastFailingUpstream.empty() || m_dispatched)
+    const std::string& upstream = m_soonestUpstream.empty() ? m_leastFailingUpstream : m_soonestUpstream;
+    if (std::exchange(m_head.isLastChoice, true) || upstream.empty() || m_dispatched)
         return nullptr;
     auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
-    auto it = std::ranges::find(candidates, m_leastFailingUpstream, &Candidate::upstream);
+    auto it = std::ranges::find(candidates, upstream, &Candidate::upstream);
     return it == candidates.end() ? nullptr : &*it;
 }
 
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -57,6 +57,8 @@
     void startAttempt();
     void sendTo(const Candidate&);
     void pumpBody();
+    void onNotice(UpstreamNotice&&);
+    void applyNotice(bool isAnswered);
     void onHead(ResponseHead&&);
     void onChunk(std::string&&);
     void onEnd();
@@ -65,8 +67,9 @@
     void retryOrRespond(Refusal&&);
     bool retryElsewhere(const Refusal&); // false: no upstream is left to try
     void resendTo(const Candidate&, const Refusal&);
-    // The least failing upstream, to be tried once more; null: none. Marks the request so that the executor cannot
-    // reject it as Degraded again.
+    static bool hasLastResort(RefusalReason); // whether an upstream that refused for this reason may be tried once more
+    // The upstream to be tried once more; null: none. Marks the request so that the executor lets it wait for the rate
+    // limit and cannot reject it as Degraded again.
     const Candidate* chooseLastResort();
     bool retryErrorResponse(); // false: the caller gets the error response
     bool forwardToHolder(const Refusal&);
@@ -107,6 +110,9 @@
     Instant m_sentAt {}; // start of the current attempt
     bool m_isExecutorInOwnRegion = false; // whether the executor of the current attempt is in this entry's region
     uint32_t m_acceptTimeouts = 0; // attempts that ended by accept timeout; each one doubles the next timeout
+    UpstreamNotice m_notice; // received in the current attempt; without a process: none
+    std::string m_soonestUpstream; // rejected the request as RateLimited with the shortest wait
+    uint32_t m_shortestWaitMs = UINT32_MAX; // the wait of m_soonestUpstream
     std::string m_leastFailingUpstream; // rejected the request as Degraded with the lowest failure probability
     uint32_t m_leastFailurePercent = UINT32_MAX; // failure probability of m_leastFailingUpstream
 
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -7,6 +7,7 @@
 #include "Settings.h"
 #include "Task.h"
 
+#include <mutex>
 #include <set>
 #include <unordered_map>
 
@@ -24,6 +25,7 @@
     virtual void finished(std::string_view upstream, const LoadReport&, Instant) = 0;
     virtual void abandoned(std::string_view upstream, Instant) = 0;
     virtual void pathResult(std::string_view node, bool reached, Instant) = 0;
+    virtual void pause(std::string_view upstream, Instant until) = 0; // see Balancer
 };
 
 // Implements BalancerInterface by a balancer of any type.
@@ -60,15 +62,40 @@
     {
         m_balancer.pathResult(node, reached, now);
     }
+    void pause(std::string_view upstream, Instant until) override
+    {
+        if constexpr (requires { m_balancer.pause(upstream, until); })
+            m_balancer.pause(upstream, until);
+    }
 
 private:
     Balancer m_balancer;
 };
 
+// The notices that the entry workers of a node share, since a caller's next request may come to another worker.
+class SharedNoticeBook {
+public:
+    void update(std::string_view upstream, UpstreamNotice notice, Instant now)
+    {
+        std::lock_guard lock(m_mutex);
+        m_book.update(upstream, std::move(notice), now);
+    }
+    UpstreamNotice find(std::string_view upstream, Instant now) const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_book.find(upstream, now);
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    NoticeBook m_book; // guarded by m_mutex
+};
+
 // Settings and callbacks by which the node connects its entry workers to the control plane. An empty callback is
 // skipped.
 struct EntryHooks {
     HeaderProfile headers;
+    std::shared_ptr<SharedNoticeBook> notices = std::make_shared<SharedNoticeBook>(); // set by the node
     std::function<void(const Service&)> offered; // called for each request of a caller, before its first attempt
     std::function<bool(const Service&)> allowRetry; // takes one retry from the service's retry budget; empty: no budget
     std::function<uint64_t()> configurationDigest; // digest sent along with each request
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -1,8 +1,10 @@
 #include "Executor.h"
 
 #include "ExecutorJob.h"
+#include "Log.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace Gooseberrymill {
 
@@ -13,6 +15,13 @@
 
 } // namespace
 
+std::string processOf(const UpstreamEndpoint& endpoint)
+{
+    if (endpoint.instance.empty())
+        return endpoint.address;
+    return fmt::format("{}@{}", endpoint.instance, endpoint.processStartedAt);
+}
+
 RefusalReason refusalReasonFor(UpstreamState state)
 {
     switch (state) {
@@ -78,7 +87,7 @@
     auto& upstream = m_upstreams[endpoint.name];
     bool isNew
         = !upstream || upstream->endpoint.address != endpoint.address || upstream->endpoint.service != endpoint.service;
-    bool isChanged = isNew || upstream->endpoint.state != endpoint.state;
+    UpstreamState stateBefore = upstream ? upstream->endpoint.state : UpstreamState::Gone;
     if (isNew) {
         if (upstream) {
             upstream->endpoint.state = UpstreamState::Gone;
@@ -95,10 +104,13 @@
     }
     if (upstream->endpoint.instance != endpoint.instance)
         upstream->earlyRejection.reset();
+    upstream->backpressure.setProcess(processOf(endpoint));
     upstream->endpoint = std::move(endpoint);
+    applyBackpressure(*upstream);
     if (slotsChanged)
         reconfigureQueue(*upstream);
     auto upstreamGuard = upstream; // the callbacks below may change m_upstreams
+    bool isChanged = isNew || upstreamGuard->endpoint.state != stateBefore;
     if (isChanged && m_hooks.crashes.upstreamChanged)
         m_hooks.crashes.upstreamChanged(upstreamGuard->endpoint);
     if (refusalReasonFor(upstreamGuard->endpoint.state) != RefusalReason::None)
@@ -109,6 +121,30 @@
         m_upstreams.erase(upstreamGuard->endpoint.name);
 }
 
+void ExecutorBase::recordSignals(LocalUpstream& upstream, const ResponseSignals& signals)
+{
+    upstream.backpressure.recordResponse(signals);
+    applyBackpressure(upstream);
+}
+
+void ExecutorBase::recordNotice(LocalUpstream& upstream, const UpstreamNotice& notice)
+{
+    upstream.backpressure.recordNotice(notice);
+    applyBackpressure(upstream);
+}
+
+void ExecutorBase::applyBackpressure(LocalUpstream& upstream)
+{
+    UpstreamEndpoint& endpoint = upstream.endpoint;
+    if (upstream.rate != upstream.backpressure.rate()) {
+        upstream.rate = upstream.backpressure.rate();
+        upstream.queue->setRate(upstream.rate, currentInstant());
+        log(LogLevel::Info, "upstream.rate_limit",
+            { { "upstream", endpoint.name }, { "process", processOf(endpoint) },
+                { "per_second", upstream.rate.value_or(0) } });
+    }
+}
+
 std::optional<LoadReport> ExecutorBase::report(std::string_view upstream) const
 {
     auto it = m_upstreams.find(upstream);
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -26,8 +26,12 @@
     // Process identity that is sent with each request. A different process that serves the same address rejects such a
     // request. When empty, any process may answer.
     std::string instance {};
+    uint64_t processStartedAt = 0; // start of the process, in milliseconds of its own clock; 0: unknown
 };
 
+// Text that differs for each process. Without an instance it only differs for each address.
+std::string processOf(const UpstreamEndpoint&);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Hooks
 //-----------------------------------------------------------------------------
@@ -133,6 +137,8 @@
     virtual std::optional<TicketId> takeReady(Instant) = 0;
     virtual std::optional<AdmissionRefusal> takeRefusal(Instant) = 0;
     virtual LoadReport report() = 0;
+    virtual void setRate(std::optional<double> perSecond, Instant) = 0; // see AdmissionQueue
+    virtual Duration rateWait(Instant) = 0;
     virtual void reconfigure(uint32_t slots, const AdmissionPolicy&) = 0;
 };
 
@@ -155,6 +161,17 @@
     std::optional<TicketId> takeReady(Instant now) override { return m_queue.takeReady(now); }
     std::optional<AdmissionRefusal> takeRefusal(Instant now) override { return m_queue.takeRefusal(now); }
     LoadReport report() override { return m_queue.report(); }
+    void setRate(std::optional<double> perSecond, Instant now) override
+    {
+        if constexpr (requires { m_queue.setRate(perSecond, now); })
+            m_queue.setRate(perSecond, now);
+    }
+    Duration rateWait(Instant now) override
+    {
+        if constexpr (requires { m_queue.rateWait(now); })
+            return m_queue.rateWait(now);
+        return {};
+    }
     void reconfigure(uint32_t slots, const AdmissionPolicy& policy) override
     {
         if constexpr (requires { m_queue.reconfigure(slots, policy); })
@@ -178,6 +195,8 @@
     std::unique_ptr<UpstreamClient> client;
     std::unordered_map<TicketId, std::shared_ptr<ExecutorJob>> waiting;
     EarlyRejection earlyRejection;
+    Backpressure backpressure;
+    std::optional<double> rate; // rate limit that the queue applies, requests per second
 
     LoadReport report(Instant now) const
     {
@@ -221,6 +240,10 @@
     void reconfigureQueue(LocalUpstream&); // applies the announced slots and the service's limits to the queue
     void refuseWaitingForState(LocalUpstream&); // refuses queued requests because of the upstream's state
     void refuseAllWaiting(LocalUpstream&, RefusalReason, const char* step);
+    // What a response, or an entry that heard it earlier, says about the upstream.
+    void recordSignals(LocalUpstream&, const ResponseSignals&);
+    void recordNotice(LocalUpstream&, const UpstreamNotice&);
+    void applyBackpressure(LocalUpstream&);
     void processQueue(const std::shared_ptr<LocalUpstream>&); // dispatches waiting requests, refuses expired ones
     void sweep(); // processes all queues and cancels requests past their deadline
     void remove(const std::shared_ptr<ExecutorJob>&);
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -76,6 +76,7 @@
         return false;
     }
     m_upstream = it->second;
+    m_executor.recordNotice(*m_upstream, m_exchange->context().notice);
     return true;
 }
 
@@ -90,6 +91,12 @@
         refuse(RefusalReason::Degraded, "executor.failures");
         return false;
     }
+    // Before the body arrives. admit() decides for the requests that may wait.
+    Duration wait = m_upstream->queue->rateWait(currentInstant());
+    if (!head().isLastChoice && wait > Duration::zero()) {
+        refuse(RefusalReason::RateLimited, "executor.rate", wait);
+        return false;
+    }
     return true;
 }
 
@@ -228,6 +235,7 @@
     ResponseHead response = stored.head;
     response.load = loadReport();
     response.bodyLength = static_cast<int64_t>(stored.body.size());
+    sendNotice();
     m_exchange->sendHead(std::move(response));
     if (!stored.body.empty())
         m_exchange->sendChunk(stored.body);
@@ -239,8 +247,8 @@
 {
     Instant now = currentInstant();
     m_ticket = ++m_executor.m_lastTicket;
-    AdmissionDecision decision
-        = m_upstream->queue->offer({ m_ticket, m_route->workClass, workKeyOf(*m_service, *m_route), m_deadline }, now);
+    AdmissionDecision decision = m_upstream->queue->offer(
+        { m_ticket, m_route->workClass, workKeyOf(*m_service, *m_route), m_deadline, head().isLastChoice }, now);
     if (decision.verdict == AdmissionVerdict::Dispatch)
         dispatch();
     else if (decision.verdict == AdmissionVerdict::Queued)
@@ -259,6 +267,7 @@
     }
     m_hasSlot = true;
     countRunning(true);
+    m_process = processOf(m_upstream->endpoint);
     m_dispatchedAt = currentInstant();
     UpstreamRequest request { head().requestId, head().method, head().target, head().headers, m_route->repeatable,
         head().bodyLength, std::nullopt, std::max(m_deadline - currentInstant(), Duration {}) };
@@ -295,9 +304,43 @@
 void ExecutorJob::onHead(ResponseHead&& response)
 {
     m_response = std::move(response);
+    recordSignals();
     readNext();
 }
 
+// A response that belongs to another request, or comes from another process, says nothing about this upstream.
+void ExecutorJob::recordSignals()
+{
+    constexpr uint16_t tooManyRequests = 429;
+    constexpr uint16_t firstServerError = 500;
+    const HeaderProfile& profile = m_executor.m_hooks.headers;
+    const UpstreamEndpoint& endpoint = m_upstream->endpoint;
+    bool isMisdirected = m_response.status == SOUP_STATUS_MISDIRECTED_REQUEST && !endpoint.instance.empty();
+    if (isMisdirected || hasForeignId() || processOf(endpoint) != m_process)
+        return;
+    ResponseSignals signals = readSignals(m_response.headers, profile);
+    bool isRejected = findHeader(m_response.headers, profile.notRun) || m_response.status == tooManyRequests;
+    signals.isServed = m_response.status < firstServerError && !isRejected;
+    m_executor.recordSignals(*m_upstream, signals);
+}
+
+bool ExecutorJob::hasForeignId() const
+{
+    const char* name = m_executor.m_hooks.headers.requestId;
+    const Header* sentId = name ? findHeader(head().headers, name) : nullptr;
+    const Header* echoedId = name ? findHeader(m_response.headers, name) : nullptr;
+    return sentId && echoedId && echoedId->value != sentId->value;
+}
+
+void ExecutorJob::sendNotice()
+{
+    if (!m_upstream)
+        return;
+    UpstreamNotice notice = m_upstream->backpressure.notice(m_upstream->queue->rateWait(currentInstant()));
+    if (!notice.process.empty())
+        m_exchange->queueNotice(notice);
+}
+
 void ExecutorJob::onResponseChunk(std::string&& bytes)
 {
     m_responseBytes += bytes.size();
@@ -319,6 +362,7 @@
 {
     m_headSent = true;
     m_response.load = loadReport();
+    sendNotice();
     m_exchange->sendHead(m_response);
     if (!m_responseBuffer.empty())
         m_exchange->sendChunk(std::exchange(m_responseBuffer, {}));
@@ -516,10 +560,12 @@
         refusal.load = loadReport();
     if (std::exchange(m_ownsOperation, false) && m_executor.m_hooks.operations.finish)
         m_executor.m_hooks.operations.finish(head(), refusal);
-    if (m_headSent)
+    if (m_headSent) {
         m_exchange->abort();
-    else
+    } else {
+        sendNotice();
         m_exchange->refuse(std::move(refusal));
+    }
     end();
 }
 
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -42,6 +42,9 @@
     void countRunning(bool isStarting);
     void recordSample(SampleKind, Duration length);
     void onCancelled();
+    void recordSignals(); // reads what the response says about its upstream
+    bool hasForeignId() const; // the response names another request
+    void sendNotice(); // tells the entry what the upstream asks of its callers
     void streamHead();
     void readNext(); // reads more of the response when the entry can take it
     void sendRefusal(Refusal);
@@ -67,6 +70,7 @@
     bool m_waitsForBodyEnd = false; // the gates are checked only after the end of the body
     bool m_bodyEnded = false;
     Fingerprint m_fingerprint = 0;
+    std::string m_process; // upstream process that the request was dispatched to
     Instant m_dispatchedAt {};
     bool m_hasSlot = false; // occupies a slot of the upstream
     bool m_waitsForGate = false; // the operation gate has not decided yet
--- a/src/node/HttpHeaders.cpp
+++ b/src/node/HttpHeaders.cpp
@@ -1,6 +1,7 @@
 #include "HttpHeaders.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace Gooseberrymill {
 
@@ -62,6 +63,24 @@
     return it == headers.end() ? nullptr : &*it;
 }
 
+ResponseSignals readSignals(const std::vector<Header>& headers, const HeaderProfile& profile)
+{
+    ResponseSignals signals;
+    for (const Header& header : headers) {
+        if (isHeaderNamed(header, profile.leaving) && header.value == "1")
+            signals.isLeaving = true;
+        if (!isHeaderNamed(header, profile.rateLimit))
+            continue;
+        signals.namesRate = true;
+        for (auto part : std::views::split(std::string_view(header.value), ',')) {
+            auto rate = parseUpstreamRate(std::string_view(part.begin(), part.end()));
+            if (rate && (!signals.rate || *rate < *signals.rate))
+                signals.rate = rate;
+        }
+    }
+    return signals;
+}
+
 void removeHeaders(std::vector<Header>& headers, std::string_view name)
 {
     std::erase_if(headers, [&](const Header& header) { return isHeaderNamed(header, name); });
--- a/src/node/HttpHeaders.h
+++ b/src/node/HttpHeaders.h
@@ -1,6 +1,7 @@
 // Names of the HTTP headers that the proxy reads, adds and removes, and helpers for header lists.
 #pragma once
 
+#include "core/Backpressure.h"
 #include "core/RelayMessages.h"
 
 #include <libsoup/soup.h>
@@ -17,6 +18,8 @@
 constexpr const char* forwardedFor = "X-Forwarded-For";
 constexpr const char* retryAfter = "Retry-After";
 constexpr const char* contentType = "Content-Type";
+constexpr const char* rateLimit = "Gooseberrymill-Rate-Limit"; // requests per second that the upstream takes
+constexpr const char* leaving = "Gooseberrymill-Leaving"; // "1": the upstream takes no new requests
 } // namespace HeaderName
 
 // Header names and conventions of a platform's callers and upstreams. The defaults are those of this project.
@@ -26,6 +29,8 @@
     const char* expectedInstance = "Gooseberrymill-Expected-Instance"; // request: the only upstream that may run it
     const char* notRun = "Gooseberrymill-Not-Run"; // response: the upstream did not run the request
     const char* requestId = nullptr; // id that callers set and upstreams echo; null: there is none
+    const char* rateLimit = HeaderName::rateLimit; // response: requests per second from the whole fleet, a decimal
+    const char* leaving = HeaderName::leaving; // response: "1" from an upstream that is leaving
     const char* signature = nullptr; // header that every successful response must have; null: not required
     bool hasFractionalRetryAfter = false; // whether Retry-After is sent with fractions of a second
     bool addsProxyHeaders = true; // whether requests and responses get the proxy's own headers
@@ -41,4 +46,8 @@
 const Header* findHeader(const std::vector<Header>&, std::string_view name); // the first one; null: none
 void removeHeaders(std::vector<Header>&, std::string_view name);
 
+// Reads what the headers of a response say about its upstream; isServed is left as it is. Of several rates the lowest
+// usable one counts.
+ResponseSignals readSignals(const std::vector<Header>&, const HeaderProfile&);
+
 } // namespace Gooseberrymill
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -69,6 +69,7 @@
 std::optional<Error> Node::startWorkers()
 {
     std::optional<Error> failure;
+    auto notices = std::make_shared<SharedNoticeBook>();
     m_callerPort = m_settings.callerListen.port;
     for (uint32_t i = 0; i < std::max(1U, m_settings.workers) && !failure; ++i) {
         Worker& worker = m_workers.emplace_back();
@@ -80,9 +81,10 @@
                 options.prefersDegradedInRegion = true;
                 options.maxPathBackoff = maxRelayBackoff;
             }
+            EntryHooks hooks = m_makeEntryHooks ? m_makeEntryHooks() : EntryHooks {};
+            hooks.notices = notices;
             worker.entry = std::make_unique<EntryServer<Balancer>>(*worker.task, m_settings, m_identity,
-                m_makeEntryHooks ? m_makeEntryHooks() : EntryHooks {},
-                Balancer(m_settings.location, randomId().low, options));
+                std::move(hooks), Balancer(m_settings.location, randomId().low, options));
             auto port = worker.entry->listen(m_settings.callerListen.host, m_callerPort);
             if (port)
                 m_callerPort = port.value();
--- a/src/node/RelayClient.cpp
+++ b/src/node/RelayClient.cpp
@@ -80,7 +80,7 @@
 
 RelayCall::RelayCall(RequestHead head, RequestContext context, Handlers handlers)
     : m_head(std::move(head))
-    , m_context(context)
+    , m_context(std::move(context))
     , m_handlers(std::make_shared<Handlers>(std::move(handlers)))
 {
 }
@@ -161,8 +161,11 @@
         return;
     if (auto* head = std::get_if<ResponseHead>(&message))
         onHead(std::move(*head));
-    else if (auto* continuation = std::get_if<Continue>(&message);
-             continuation && !m_headReceived && continuation->requestId == m_head.requestId) {
+    else if (auto* notice = std::get_if<UpstreamNotice>(&message); notice && !m_headReceived) {
+        if (m_handlers->notice)
+            m_handlers->notice(std::move(*notice));
+    } else if (auto* continuation = std::get_if<Continue>(&message);
+               continuation && !m_headReceived && continuation->requestId == m_head.requestId) {
         m_continueReceived = true;
         m_handlers->writable();
     } else if (auto* refusal = std::get_if<Refusal>(&message))
@@ -249,7 +252,7 @@
 std::shared_ptr<RelayCall> RelayClient::call(
     const std::string& address, RequestHead head, RelayCall::Handlers handlers, RequestContext context)
 {
-    auto call = std::make_shared<RelayCall>(std::move(head), context, std::move(handlers));
+    auto call = std::make_shared<RelayCall>(std::move(head), std::move(context), std::move(handlers));
     auto start = [this, alive = m_alive, address, call](Result<std::shared_ptr<RelayConnection>> result) {
         if (!*alive)
             return;
--- a/src/node/RelayClient.h
+++ b/src/node/RelayClient.h
@@ -12,6 +12,7 @@
 class RelayCall : public std::enable_shared_from_this<RelayCall> {
 public:
     struct Handlers {
+        std::function<void(UpstreamNotice&&)> notice; // precedes the head or the refusal
         std::function<void(ResponseHead&&)> head;
         std::function<void(std::string&&)> chunk; // a part of the response body
         std::function<void()> end; // the response is complete
--- a/src/node/RelayFrames.cpp
+++ b/src/node/RelayFrames.cpp
@@ -175,7 +175,8 @@
     maxDirectoryBytes, // directoryNotice
     maxDirectoryBytes, // directoryReply
     64, // continue
-    64, // requestContext
+    1024, // requestContext
+    1024, // upstreamNotice
 };
 
 void writeBigEndian(std::string& out, size_t at, uint64_t value, size_t bytes)
@@ -219,8 +220,10 @@
 bool isValid(const Refusal& refusal)
 {
     return isValid(refusal.load) && isAtMost(refusal.outcome, Outcome::Ran)
-        && isAtMost(refusal.reason, RefusalReason::Degraded);
+        && isAtMost(refusal.reason, RefusalReason::RateLimited);
 }
+bool isValid(const UpstreamNotice& notice) { return notice.rate >= 0 && notice.rate <= maxUpstreamRate; }
+bool isValid(const RequestContext& context) { return isValid(context.notice); }
 bool isValid(const BodyChunk& chunk) { return chunk.bytes.size() <= maxChunkBytes; }
 bool isValid(const CrashNotice& notice)
 {
@@ -281,7 +284,11 @@
 
 } // namespace
 
-uint16_t firstVersionOf(const RelayMessage& message) { return std::holds_alternative<RequestContext>(message) ? 5 : 1; }
+uint16_t firstVersionOf(const RelayMessage& message)
+{
+    bool isNew = std::holds_alternative<RequestContext>(message) || std::holds_alternative<UpstreamNotice>(message);
+    return isNew ? 5 : 1;
+}
 
 size_t maxPayloadBytes(uint8_t kind)
 {
--- a/src/node/RelayFrames.h
+++ b/src/node/RelayFrames.h
@@ -11,6 +11,7 @@
 // position only.
 #pragma once
 
+#include "core/Backpressure.h"
 #include "core/DirectorySync.h"
 #include "core/QueryOfDeathFilter.h"
 #include "core/RelayMessages.h"
@@ -60,7 +61,7 @@
 // The kind of a frame is the index of its message in this variant plus one.
 using RelayMessage = std::variant<Hello, RequestHead, BodyChunk, BodyEnd, ResponseHead, Refusal, Cancel, TokenQuery,
     TokenReply, ConfigurationQuery, ConfigurationReply, CrashNotice, CrashNoticeReply, DirectoryNotice, DirectoryReply,
-    Continue, RequestContext>;
+    Continue, RequestContext, UpstreamNotice>;
 
 // First relay version whose nodes understand the message. Must not be sent to a peer with an older version.
 uint16_t firstVersionOf(const RelayMessage&);
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -28,7 +28,7 @@
 RelayExchange::RelayExchange(std::shared_ptr<RelayConnection> connection, RequestHead head, RequestContext context)
     : m_connection(std::move(connection))
     , m_head(std::move(head))
-    , m_context(context)
+    , m_context(std::move(context))
 {
 }
 
@@ -38,6 +38,12 @@
         m_connection->send(Continue { m_head.requestId });
 }
 
+void RelayExchange::queueNotice(const UpstreamNotice& notice)
+{
+    if (isOpen() && m_connection->isUnderstood(notice))
+        m_connection->queue(notice);
+}
+
 void RelayExchange::sendHead(ResponseHead head)
 {
     head.requestId = m_head.requestId;
@@ -71,6 +77,10 @@
     refusal.requestId = m_head.requestId;
     if (!isOpen())
         return;
+    // Nodes of relay version 4 do not know the reason and take this one to mean the same.
+    bool knowsRateLimit = m_connection->isUnderstood(UpstreamNotice {});
+    if (refusal.reason == RefusalReason::RateLimited && !knowsRateLimit)
+        refusal.reason = RefusalReason::QueueFull;
     m_connection->send(std::move(refusal));
     markAnswered();
 }
@@ -187,7 +197,7 @@
     else if (peer->exchange)
         onBody(peer, std::move(message));
     else if (auto* context = std::get_if<RequestContext>(&message))
-        peer->nextContext = *context;
+        peer->nextContext = std::move(*context);
     else
         onQuery(peer, std::move(message));
 }
@@ -197,7 +207,7 @@
     if (peer->closing)
         return; // the closing notice already tells the peer that this request was not run
     RequestContext context = std::exchange(peer->nextContext, {});
-    peer->exchange = std::make_shared<RelayExchange>(peer->connection, std::move(head), context);
+    peer->exchange = std::make_shared<RelayExchange>(peer->connection, std::move(head), std::move(context));
     std::weak_ptr<Peer> weak = peer;
     peer->exchange->m_onAnswered = [this, weak] {
         if (auto self = weak.lock())
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -33,6 +33,8 @@
     void resumeBody() { m_connection->resumeReading(); }
 
     void sendContinue(); // tells the entry to send the body
+    // Sends the notice with the next message, if the peer understands it.
+    void queueNotice(const UpstreamNotice&);
     void sendHead(ResponseHead); // queued; written with the first chunk or the end
     void sendChunk(std::string bytes); // split into frames of at most maxChunkBytes
     void sendEnd();
--- a/tests/AdmissionQueueTests.cpp
+++ b/tests/AdmissionQueueTests.cpp
@@ -414,3 +414,50 @@
     queue.finish(4, 10ms, true, at(10ms));
     BOOST_TEST((takeAll(queue, at(10ms)) == std::vector<TicketId> { 5 }));
 }
+
+// Guards against a rate limit that is exceeded when slots get free, and against one that idle upstreams ignore.
+BOOST_AUTO_TEST_CASE(rateLimitBoundsDispatches)
+{
+    AdmissionQueue queue(makeService(8));
+    queue.setRate(2, at(0s));
+    int dispatched = 0;
+    TicketId ticket = 0;
+    for (Duration time {}; time < 10s; time += 10ms) {
+        AdmissionRequest next = request(++ticket, WorkClass::Critical, at(time + 10s));
+        next.mayWaitForRate = ticket % 3 == 0;
+        AdmissionDecision decision = queue.offer(next, at(time));
+        std::vector<TicketId> started = takeAll(queue, at(time));
+        if (decision.verdict == AdmissionVerdict::Dispatch)
+            started.push_back(ticket);
+        for (TicketId it : started)
+            queue.finish(it, 1ms, true, at(time));
+        dispatched += static_cast<int>(started.size());
+    }
+    BOOST_TEST(dispatched <= 20);
+    BOOST_TEST(dispatched >= 19);
+}
+
+// Guards against a request that waits for the rate although another upstream could take it, or longer than a moment.
+BOOST_AUTO_TEST_CASE(onlyLastChoicesWaitForTheRate)
+{
+    AdmissionQueue queue(makeService(8));
+    queue.setRate(2, at(0s));
+    AdmissionDecision decision = queue.offer(request(1, WorkClass::Critical, at(10s)), at(0s));
+    BOOST_TEST((decision.verdict == AdmissionVerdict::Refuse));
+    BOOST_TEST((decision.reason == RefusalReason::RateLimited));
+    AdmissionRequest last = request(2, WorkClass::Critical, at(10s));
+    last.mayWaitForRate = true;
+    BOOST_TEST((queue.offer(last, at(0s)).verdict == AdmissionVerdict::Queued));
+    last.ticket = 3;
+    BOOST_TEST((queue.offer(last, at(0s)).verdict == AdmissionVerdict::Queued));
+    last.ticket = 4; // would wait for 1.5 s
+    decision = queue.offer(last, at(0s));
+    BOOST_TEST((decision.reason == RefusalReason::RateLimited));
+    BOOST_TEST((decision.retryAfter == 1500ms));
+    BOOST_TEST(takeAll(queue, at(499ms)).empty());
+    BOOST_TEST(takeAll(queue, at(500ms)) == std::vector<TicketId> { 2 });
+    last.ticket = 5;
+    last.deadline = at(700ms); // before its token
+    BOOST_TEST((queue.offer(last, at(500ms)).verdict == AdmissionVerdict::Refuse));
+    BOOST_TEST(takeAll(queue, at(1s)) == std::vector<TicketId> { 3 });
+}
--- a/tests/BalancerTests.cpp
+++ b/tests/BalancerTests.cpp
@@ -349,3 +349,17 @@
         }
     }
 }
+
+// Guards against requests that travel to an upstream whose rate limit allows none, and against one that is forgotten.
+BOOST_AUTO_TEST_CASE(pausedUpstreamIsALastResort)
+{
+    Balancer balancer = makeBalancer(tieredCandidates());
+    balancer.pause("a", at(1s));
+    BOOST_TEST(names(chooseMany(balancer, at(0s))) == Names({ "b" }));
+    balancer.pause("b", at(1s));
+    BOOST_TEST(names(chooseMany(balancer, at(0s))) == Names({ "c", "d" }));
+    for (std::string_view it : { "c", "d", "e", "f" })
+        balancer.pause(it, at(1s));
+    BOOST_TEST(!names(chooseMany(balancer, at(0s))).contains(""));
+    BOOST_TEST(names(chooseMany(balancer, at(1s))) == Names({ "a", "b" }));
+}
--- a/tests/PlatformAdapterTests.cpp
+++ b/tests/PlatformAdapterTests.cpp
@@ -156,3 +156,10 @@
     }
     BOOST_TEST(files > 100U);
 }
+
+// Guards against the names of the platform's signals getting lost.
+BOOST_AUTO_TEST_CASE(readsWhatAnUpstreamAsksFor)
+{
+    ResponseSignals signals = readSignals({ { "Server-Limit", "1.5" } }, mesh().headers);
+    BOOST_TEST(signals.rate.value_or(0) == 1.5);
+}
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -78,7 +78,8 @@
         Cancel { { 1, 1 } }, TokenQuery { { 2, 2 }, "shop" }, TokenReply { { 3, 3 }, { 4, 4 }, { 5, 5 }, 6 },
         ConfigurationQuery { { { "main", 3, "", "", "" } } }, reply, largestNotice(),
         CrashNoticeReply { { { { 6, 7 }, 8, 9 } }, { 10 } }, notice, DirectoryReply { 15, 16, notice.records, { 17 } },
-        Continue { { 18, 19 } }, RequestContext { true } };
+        Continue { { 18, 19 } }, RequestContext { true, { "i-1@5", 1.5, 0, true } },
+        UpstreamNotice { "i-1@5", 0.25, 700, false } };
 }
 
 void appendBigEndian(std::string& out, uint64_t value, size_t bytes)
@@ -373,6 +374,8 @@
 // Guards against a message that a node of the release before cannot decode, which closes the connection.
 BOOST_AUTO_TEST_CASE(newMessagesNeedANewPeer)
 {
-    for (const RelayMessage& message : sampleMessages())
-        BOOST_TEST(firstVersionOf(message) == (std::holds_alternative<RequestContext>(message) ? 5 : 1));
+    for (const RelayMessage& message : sampleMessages()) {
+        bool isNew = std::holds_alternative<RequestContext>(message) || std::holds_alternative<UpstreamNotice>(message);
+        BOOST_TEST(firstVersionOf(message) == (isNew ? 5 : 1));
+    }
 }
--- a/tests/TestFleet.h
+++ b/tests/TestFleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "HttpCaller.h"
+#include "node/Log.h"
 #include "node/Node.h"
 #include "UpstreamStandIn.h"
 
@@ -90,6 +91,22 @@
         m_members[i].node->setUpstream(m_members[i].endpoint);
     }
 
+    // Replaces the process of a node; it keeps its relay address.
+    void restartNode(size_t i)
+    {
+        TestNode& member = m_members[i];
+        Settings settings = member.node->settings();
+        std::string address = member.node->relayAddress();
+        settings.relayListen.port = static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+        member.node.reset();
+        member.node = std::make_unique<Node>(settings);
+        auto error = member.node->start();
+        g_assert(!error);
+        member.node->setRoutes(shopRoutes());
+        member.node->setUpstream(member.endpoint);
+        member.node->setCandidates(m_candidates);
+    }
+
     // Sets the candidates of every node from the upstreams of all.
     void announce()
     {
@@ -112,9 +129,9 @@
     CandidateList candidates() const { return *m_candidates; }
     void setCandidates(CandidateList candidates)
     {
-        auto shared = std::make_shared<const CandidateList>(std::move(candidates));
+        m_candidates = std::make_shared<const CandidateList>(std::move(candidates));
         for (TestNode& member : m_members)
-            member.node->setCandidates(shared);
+            member.node->setCandidates(m_candidates);
     }
 
 private:
--- a/tests/UpstreamStandIn.h
+++ b/tests/UpstreamStandIn.h
@@ -4,11 +4,12 @@
 //   closeStalled())
 //   (crash: the listener and all connections close; the upstream starts again on its port after a while)
 //   Stand-In-Delay-Ms (slow), Stand-In-Status (status), Stand-In-Size (bytes of the response body)
+//   Stand-In-Header (a header of the response, "Name: value")
 // Without a size the response names the method, the target and the digest of the request body.
 //
 // For tests of whole processes, the same port serves:
 //   GET  /.stand-in/counts                      {"total", "targets": {target: n}, "bodies": {digest: n}}
-//   POST /.stand-in/faults?fault=F&delayMs=N&status=N&size=N   for requests without a Stand-In-Fault header
+//   POST /.stand-in/faults?fault=F&delayMs=N&status=N&size=N&header=H   for requests without a Stand-In-Fault header
 //   POST /.stand-in/state?value=STATE           changes the announced state
 #pragma once
 
@@ -372,6 +373,9 @@
         soup_server_message_set_status(message, status, nullptr);
         if (fault == "shed")
             soup_message_headers_append(headers, "Retry-After", "3");
+        std::string extra = exchange.upstream->option(message, "Stand-In-Header", "header");
+        if (size_t colon = extra.find(':'); colon != std::string::npos)
+            soup_message_headers_append(headers, extra.substr(0, colon).c_str(), extra.substr(colon + 1).c_str());
         soup_message_headers_append(headers, "Stand-In-Digest", exchange.body.text().c_str());
         if (exchange.size) {
             soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
