Send nothing to an upstream that says in a response that it is leaving

Cause: an upstream that leaves says so in all its responses, earlier than its announcements or the directory. Nothing read it, so entries that had passed on such a response sent it new requests.

Change: the executor takes the upstream for draining from that response on, whatever a late announcement says, until another process is announced, and tells the fleet through the directory. An upstream without a process identity is left to its announcements.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -185,6 +185,12 @@
             m_node->postToExecutor([answer = std::move(answer), reply] { reply(answer); });
         });
     };
+    hooks.upstreamLeaving = [this](const UpstreamEndpoint& endpoint) {
+        m_task.post([this, instance = endpoint.instance] {
+            if (m_upstream.markDeparted(instance))
+                applyUpstream();
+        });
+    };
     hooks.directory = [this](DirectoryNotice&& notice, std::function<void(DirectoryReply)> reply) {
         m_task.post([this, notice = std::move(notice), reply = std::move(reply)] {
             DirectoryReply answer = m_directory ? onNotice(notice) : DirectoryReply {};
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -143,6 +143,15 @@
             { { "upstream", endpoint.name }, { "process", processOf(endpoint) },
                 { "per_second", upstream.rate.value_or(0) } });
     }
+    // Without an identity, a process that starts at the same address could not be told from the one that left.
+    bool isLeaving = upstream.backpressure.isLeaving() && !endpoint.instance.empty();
+    if (!isLeaving || endpoint.state >= UpstreamState::Draining)
+        return;
+    endpoint.state = UpstreamState::Draining;
+    log(LogLevel::Info, "upstream.leaving", { { "upstream", endpoint.name }, { "process", processOf(endpoint) } });
+    refuseWaitingForState(upstream);
+    if (m_hooks.upstreamLeaving)
+        m_hooks.upstreamLeaving(endpoint);
 }
 
 std::optional<LoadReport> ExecutorBase::report(std::string_view upstream) const
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -118,6 +118,8 @@
     // Receives the result of each request that reached an upstream, for health monitoring.
     std::function<void(const std::string& upstream, const Sample&, Instant)> sample;
     CrashGate crashes;
+    // The upstream process says in its responses that it is leaving.
+    std::function<void(const UpstreamEndpoint&)> upstreamLeaving;
     RelayServer::Answer<TokenQuery, TokenReply> token; // if empty, a token is a random operation id of this incarnation
     RelayServer::Answer<ConfigurationQuery, ConfigurationReply> configuration;
     RelayServer::Answer<DirectoryNotice, DirectoryReply> directory;
--- a/tests/BackpressureTests.cpp
+++ b/tests/BackpressureTests.cpp
@@ -22,6 +22,7 @@
 const ResponseSignals served { .isServed = true };
 
 constexpr const char* limitHeader = "Gooseberrymill-Rate-Limit";
+constexpr const char* leavingAnswer = "Gooseberrymill-Leaving: 1";
 
 // One upstream behind node 0, with a process identity. All nodes are entries to it.
 struct SingleUpstream {
@@ -206,6 +207,31 @@
     BOOST_TEST(std::stod(response.header(HeaderName::retryAfter)) >= 3);
 }
 
+// Guards against requests that reach an upstream from an entry which has passed on that it is leaving.
+BOOST_AUTO_TEST_CASE(leavingUpstreamGetsNoNewRequests)
+{
+    SingleUpstream single(2);
+    auto announceLate = [&] { single.setProcess(1); };
+    BOOST_TEST(single.get(1, "/read/leaving", { { "Stand-In-Header", leavingAnswer } }) == 200);
+    announceLate();
+    BOOST_TEST(single.get(0, "/read/after") == 503);
+    BOOST_TEST(single.get(1, "/read/after") == 503);
+    single.fleet.restartNode(0); // knows nothing of it
+    bool isTold = false;
+    for (int i = 0; i < 100 && !isTold; ++i) { // the connections to the old process fail first
+        auto response = HttpCaller(single.fleet.port(1)).request("GET", "/read/after");
+        BOOST_TEST(response.status == 503);
+        isTold = response.body.find("\"executor.upstream\"") != std::string::npos;
+        std::this_thread::sleep_for(20ms);
+    }
+    BOOST_TEST(isTold);
+    announceLate();
+    BOOST_TEST(single.get(0, "/read/after") == 503);
+    BOOST_TEST(single.fleet.upstream().count("/read/after") == 0U);
+    single.setProcess(2);
+    BOOST_TEST(single.get(1, "/read/next") == 200);
+}
+
 // Guards against a misread header: repeated, in a list, unusable or of another case.
 BOOST_AUTO_TEST_CASE(signalsAreReadFromHeaders)
 {
--- a/tests/PlatformAdapterTests.cpp
+++ b/tests/PlatformAdapterTests.cpp
@@ -160,6 +160,7 @@
 // Guards against the names of the platform's signals getting lost.
 BOOST_AUTO_TEST_CASE(readsWhatAnUpstreamAsksFor)
 {
-    ResponseSignals signals = readSignals({ { "Server-Limit", "1.5" } }, mesh().headers);
+    ResponseSignals signals = readSignals({ { "Server-Limit", "1.5" }, { "Server-Leaving", "1" } }, mesh().headers);
     BOOST_TEST(signals.rate.value_or(0) == 1.5);
+    BOOST_TEST(signals.isLeaving);
 }
