Take a rejection only from the request that it belongs to

Cause (report of other operators): a faulty upstream wrote an earlier rejection once more on a kept connection. The executor looked at the header "not executed" before the request id, so it told callers "not run, try again" for requests that the upstream ran, and the entry placed such requests at a second upstream.

Change: a response with another request's id is invalid whatever else it says. A rejection without an id counts only on a connection that carried no other request.

--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -380,14 +380,18 @@
     constexpr uint16_t firstSuccess = 200;
     constexpr uint16_t firstRedirect = 300;
     const HeaderProfile& profile = m_executor.m_hooks.headers;
+    if (hasForeignId())
+        return RefusalReason::UpstreamInvalid;
+    bool hasId = profile.requestId && findHeader(m_response.headers, profile.requestId);
     // The address is served by another process than the one that the request was meant for; it did not run the request.
-    if (m_response.status == SOUP_STATUS_MISDIRECTED_REQUEST && !m_upstream->endpoint.instance.empty())
-        return RefusalReason::UpstreamShed;
-    if (findHeader(m_response.headers, profile.notRun))
-        return RefusalReason::UpstreamShed;
-    const Header* sentId = profile.requestId ? findHeader(head().headers, profile.requestId) : nullptr;
-    const Header* echoedId = profile.requestId ? findHeader(m_response.headers, profile.requestId) : nullptr;
-    if (sentId && (!echoedId || echoedId->value != sentId->value))
+    bool isMisdirected = m_response.status == SOUP_STATUS_MISDIRECTED_REQUEST && !m_upstream->endpoint.instance.empty();
+    if (isMisdirected || findHeader(m_response.headers, profile.notRun)) {
+        // A faulty upstream may write the rejection of an earlier request once more on the connection.
+        bool isCertain = hasId || !m_call->isOnKeptConnection();
+        return isCertain ? RefusalReason::UpstreamShed : RefusalReason::UpstreamInvalid;
+    }
+    bool hasSentId = profile.requestId && findHeader(head().headers, profile.requestId);
+    if (hasSentId && !hasId)
         return RefusalReason::UpstreamInvalid;
     bool isSuccess = m_response.status >= firstSuccess && m_response.status < firstRedirect;
     if (isSuccess && profile.signature && !findHeader(m_response.headers, profile.signature))
--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -71,6 +71,7 @@
         self->m_startedAt = currentInstant();
     self->m_connectTimer.reset();
     guint64 connection = soup_message_get_connection_id(message);
+    self->m_isOnKeptConnection = !self->m_socket;
     if (self->m_socket)
         self->m_sockets->add(connection, shareObject(self->m_socket.get()));
     else
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -61,6 +61,8 @@
     // request.
     void dropConnection();
     bool isStarted() const { return m_started; } // libsoup has begun to write the request
+    // The connection carried another request before, so what it delivers may be left over from that one.
+    bool isOnKeptConnection() const { return m_isOnKeptConnection; }
     Duration serviceTime() const; // since the request was started; 0 before
 
 private:
@@ -91,6 +93,7 @@
     std::string m_buffer;
     Instant m_startedAt {};
     bool m_started = false;
+    bool m_isOnKeptConnection = false;
     bool m_headReceived = false;
     bool m_isReading = false;
     bool m_connectTimedOut = false;
