Fail a response whose connection ends in its head

Cause (report of other operators): an upstream stopped in the middle of its response's head and closed. libsoup 3.2.3 takes the end of the connection for the end of the head. Where the platform allows a response without a length, or where the part that came names an empty body, callers got a 200 or 204 with an empty body, framed as whole.

Change: a response with no byte of a body is a truncated one if its peer has closed the connection, unless the head announces that and gives the length. A whole response without length and body cannot be told from a cut head and fails as well.

--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -10,14 +10,19 @@
 constexpr size_t readBytes = 32 << 10;
 constexpr uint32_t spareConnections = 8; // for the connections of cancelled requests that are still closing
 
+bool hasNoBody(SoupMessage* message)
+{
+    guint status = soup_message_get_status(message);
+    return soup_message_get_method(message) == SOUP_METHOD_HEAD || status == SOUP_STATUS_NO_CONTENT
+        || status == SOUP_STATUS_NOT_MODIFIED;
+}
+
 // True when the end of the response body can be told from a truncation. A body that ends with the connection cannot.
 // libsoup 3.2.3 also accepts the end of the connection between two chunks as the end of a chunked body, so a chunked
 // body is only accepted when the connection stays open after it.
 bool hasVerifiableEnd(SoupMessage* message)
 {
-    guint status = soup_message_get_status(message);
-    if (soup_message_get_method(message) == SOUP_METHOD_HEAD || status == SOUP_STATUS_NO_CONTENT
-        || status == SOUP_STATUS_NOT_MODIFIED)
+    if (hasNoBody(message))
         return true;
     SoupEncoding encoding = soup_message_headers_get_encoding(soup_message_get_response_headers(message));
     return encoding == SOUP_ENCODING_CONTENT_LENGTH
@@ -29,6 +34,17 @@
     return soup_message_headers_get_encoding(soup_message_get_response_headers(message)) == SOUP_ENCODING_CHUNKED;
 }
 
+// libsoup 3.2.3 takes the end of the connection within the head for the end of the head. Nothing follows such a head,
+// and the peer has closed; a whole response without a body leaves the connection open or announces that it closes.
+bool isHeadCut(SoupMessage* message, GSocket* socket)
+{
+    auto* headers = soup_message_get_response_headers(message);
+    bool announcesClose = soup_message_headers_header_contains(headers, "Connection", "close")
+        || soup_message_get_http_version(message) == SOUP_HTTP_1_0;
+    bool endsWithConnection = !hasNoBody(message) && soup_message_headers_get_encoding(headers) == SOUP_ENCODING_EOF;
+    return (endsWithConnection || !announcesClose) && isClosedByPeer(socket);
+}
+
 // Content-Length of the response; 0 for a status without a body; -1: unknown.
 int64_t declaredLength(SoupMessage* message)
 {
@@ -210,10 +226,16 @@
     }
     auto handlers = m_handlers;
     if (n > 0) {
+        m_hasBody = true;
         m_buffer.resize(static_cast<size_t>(n));
         handlers->chunk(std::exchange(m_buffer, {}));
         return;
     }
+    if (!m_hasBody && isHeadCut(m_message.get(), m_socket.get())) {
+        fail({ { ErrorCode::Closed, "upstream.read", m_peer, "the connection ended before the end of the head" },
+            RefusalReason::UpstreamTruncated, true });
+        return;
+    }
     if (soup_message_get_method(m_message.get()) != SOUP_METHOD_HEAD && isChunked(m_message.get())
         && isClosedByPeer(m_socket.get())) {
         fail({ { ErrorCode::Closed, "upstream.read", m_peer, "the chunked body ended with the connection" },
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -95,6 +95,7 @@
     bool m_started = false;
     bool m_isOnKeptConnection = false;
     bool m_headReceived = false;
+    bool m_hasBody = false; // a part of the response body has arrived
     bool m_isReading = false;
     bool m_connectTimedOut = false;
     bool m_done = false;
--- a/tests/FaultyUpstreamTests.cpp
+++ b/tests/FaultyUpstreamTests.cpp
@@ -203,3 +203,51 @@
     }
     BOOST_TEST(arrivals > 0U);
 }
+
+// Guards against a response that stops in its head and reaches the caller as a whole one with an empty or short body.
+BOOST_AUTO_TEST_CASE(cutHeadIsNeverAWholeResponse)
+{
+    const std::vector<std::pair<std::string, std::string>> cuts { { "200 OK", "Response-Signature: s\r\n" },
+        { "200 OK", "Response-Signature: s" }, { "200 OK", "Response-Signature: s\r\nContent-Len" },
+        { "200 OK", "Response-Signature: s\r\nContent-Length: " },
+        { "200 OK", "Response-Signature: s\r\nContent-Length: 0\r\n" },
+        { "200 OK", "Response-Signature: s\r\nContent-Length: 1" },
+        { "200 OK", "Response-Signature: s\r\nTransfer-Encoding: chunked\r\n" },
+        { "200 OK", "Response-Signature: s\r\nTransfer-Encoding: chu" },
+        { "204 No Content", "Response-Signature: s\r\n" } };
+    size_t next = 0;
+    RawUpstream raw([&](const std::string& head) {
+        const auto& [status, rest] = cuts[next];
+        return RawResponse { headOf(status, idOf(head), rest), true };
+    });
+    MeshFleet mesh(raw);
+    for (; next < cuts.size(); ++next) {
+        BOOST_TEST_CONTEXT(cuts[next].first << " " << cuts[next].second)
+        {
+            for (std::string target : { "/read/a", "/order/a" }) {
+                auto response = mesh.call(target == "/read/a" ? "GET" : "POST", target, fmt::format("id-{}", next));
+                BOOST_TEST(response.status == 502);
+                BOOST_TEST(response.header(HeaderName::outcome) == "unknown");
+            }
+        }
+    }
+}
+
+// Guards against refusing whole responses without a body, or without a length.
+BOOST_AUTO_TEST_CASE(wholeResponsesWithoutBodyOrLengthArePassedOn)
+{
+    const std::vector<RawResponse> responses { { "Response-Signature: s\r\nContent-Length: 0\r\n\r\n" },
+        { "Response-Signature: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true },
+        { "Response-Signature: s\r\n\r\nbody", true } };
+    size_t next = 0;
+    RawUpstream raw([&](const std::string& head) {
+        return RawResponse { headOf("200 OK", idOf(head), responses[next].bytes), responses[next].closes };
+    });
+    MeshFleet mesh(raw);
+    for (; next < responses.size(); ++next) {
+        auto response = mesh.call("POST", "/order/a", fmt::format("id-{}", next));
+        BOOST_TEST(response.status == 200);
+        BOOST_TEST(response.complete);
+        BOOST_TEST(response.body == (next == 2 ? "body" : ""));
+    }
+}
