Stop reading a response without end that nobody waits for

The executor reads the response of a request that must not be repeated to its end after the caller has left, to learn the outcome.

Change: after 4 MiB that nobody waits for, the call is cancelled. The head has shown that the upstream ran the request, so the outcome is known.

--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -11,6 +11,7 @@
 
 constexpr size_t maxBufferedResponseBytes = 64 << 10; // larger responses are streamed before they are complete
 constexpr size_t maxStoredResponseBytes = 1 << 20; // larger responses are not stored for duplicate requests
+constexpr uint64_t maxUnreadResponseBytes = 4 << 20; // read of a response that nobody waits for, to see it end
 
 // Refusal for an operation that the gate lets run after its request has ended. It reports the operation as not run, so
 // that a later request may run it.
@@ -344,6 +345,10 @@
 void ExecutorJob::onResponseChunk(std::string&& bytes)
 {
     m_responseBytes += bytes.size();
+    if (m_callerGone && m_responseBytes > maxUnreadResponseBytes) {
+        abandonResponse();
+        return;
+    }
     if (m_storedResponse && m_storedResponse->body.size() + bytes.size() <= maxStoredResponseBytes)
         m_storedResponse->body += bytes;
     else
@@ -358,6 +363,14 @@
     readNext();
 }
 
+// The caller has gone, and the head has shown that the upstream ran the request.
+void ExecutorJob::abandonResponse()
+{
+    m_call->cancel();
+    releaseSlot(SampleKind::Wrong, false);
+    refuse(RefusalReason::UpstreamInvalid, "executor.response", {}, true);
+}
+
 void ExecutorJob::streamHead()
 {
     m_headSent = true;
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -45,6 +45,7 @@
     void recordSignals(); // reads what the response says about its upstream
     bool hasForeignId() const; // the response names another request
     void sendNotice(); // tells the entry what the upstream asks of its callers
+    void abandonResponse(); // stops reading a response without end
     void streamHead();
     void readNext(); // reads more of the response when the entry can take it
     void sendRefusal(Refusal);
--- a/tests/FaultyUpstreamTests.cpp
+++ b/tests/FaultyUpstreamTests.cpp
@@ -39,6 +39,7 @@
 
     std::string address() const { return fmt::format("127.0.0.1:{}", localPort(m_listener.get())); }
     uint64_t writtenBytes() const { return m_writtenBytes; }
+    size_t openConnections() const { return m_openConnections; }
 
 private:
     void run()
@@ -55,6 +56,7 @@
 
     void serve(GSocket* socket)
     {
+        ++m_openConnections;
         g_socket_set_blocking(socket, TRUE);
         g_socket_set_timeout(socket, 1);
         std::string input;
@@ -74,6 +76,7 @@
                 break;
         }
         g_socket_close(socket, nullptr);
+        --m_openConnections;
     }
 
     bool write(GSocket* socket, const RawResponse& response)
@@ -97,6 +100,7 @@
     ObjectHandle<GSocket> m_listener;
     std::atomic<bool> m_isStopped { false };
     std::atomic<uint64_t> m_writtenBytes { 0 };
+    std::atomic<size_t> m_openConnections { 0 };
     std::vector<std::thread> m_connections; // used by m_thread until it has ended
     std::thread m_thread;
 };
@@ -251,3 +255,36 @@
         BOOST_TEST(response.body == (next == 2 ? "body" : ""));
     }
 }
+
+// Guards against memory and work without bound while an upstream writes bytes without end, in a head or in a body.
+BOOST_AUTO_TEST_CASE(endlessBytesAreCutOff)
+{
+    constexpr uint64_t allowedBytes = 64 << 20; // of all four requests; socket buffers included
+    for (bool isInHead : { true, false }) {
+        std::string filler(16 << 10, 'x');
+        RawUpstream raw([&](const std::string& head) {
+            std::string start = isInHead ? headOf("200 OK", idOf(head), "X-Filler: ")
+                                         : headOf("200 OK", idOf(head), "Response-Signature: s\r\n\r\n");
+            return RawResponse { start + filler, false, true };
+        });
+        MeshFleet mesh(raw, 1, 1s);
+        for (std::string target : { "/read/a", "/order/a" }) {
+            HttpCaller caller(mesh.fleet.port());
+            caller.sendHead(
+                target == "/read/a" ? "GET" : "POST", target, { { "Attempt-Id", target }, { "Content-Length", "0" } });
+            std::this_thread::sleep_for(1500ms); // past the deadline; the caller reads nothing and leaves
+        }
+        uint64_t written = 0;
+        bool isIdle = false;
+        for (int i = 0; i < 50 && !isIdle; ++i) {
+            written = raw.writtenBytes();
+            std::this_thread::sleep_for(200ms);
+            isIdle = raw.writtenBytes() == written && !raw.openConnections();
+        }
+        BOOST_TEST_CONTEXT((isInHead ? "in the head" : "in the body"))
+        {
+            BOOST_TEST(isIdle);
+            BOOST_TEST(written <= allowedBytes);
+        }
+    }
+}
