--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -32,6 +32,7 @@
 
 #include "core/Admission.h" // concept of an admission queue: concurrency limit and queue of one upstream
 #include "core/AdmissionQueue.h" // admission queue: weighted fair queueing with early shedding
+#include "core/Backpressure.h" // what an upstream asks of its callers: a lower rate, or no new requests
 #include "core/Balancer.h" // selection of an upstream: power of two choices in the nearest tier
 #include "core/BaselineDetectors.h" // simple detectors, baselines for comparison with HealthMonitor
 #include "core/Basics.h" // time, identifiers, outcomes, errors
@@ -48,6 +49,7 @@
 #include "core/OperationTable.h" // at-most-once execution at one executor
 #include "core/PathMonitor.h" // reachability of nodes as seen by one entry
 #include "core/QueryOfDeathFilter.h" // refusal of requests that crash upstreams
+#include "core/RateLimiter.h" // rate limit of one upstream
 #include "core/RelayMessages.h" // messages between nodes over TCP
 #include "core/Replay.h" // replay of a trace in virtual time
 #include "core/RetryBudget.h" // limit on retries and decision on another attempt
