Split the values of a rate header without std::views::split; keep the order of the relay handlers

Change: a loop over the commas; the handler of notices comes last; the start time of the process is compared too.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -186,8 +186,10 @@
         });
     };
     hooks.upstreamLeaving = [this](const UpstreamEndpoint& endpoint) {
-        m_task.post([this, instance = endpoint.instance] {
-            if (m_upstream.markDeparted(instance))
+        m_task.post([this, instance = endpoint.instance, startedAt = endpoint.processStartedAt] {
+            // A restarted process may keep its identity.
+            bool isCurrent = m_upstream.current() && m_upstream.current()->processStartedAt == startedAt;
+            if (isCurrent && m_upstream.markDeparted(instance))
                 applyUpstream();
         });
     };
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -527,14 +527,15 @@
                 ((*self).*method)(std::forward<decltype(arguments)>(arguments)...);
         };
     };
-    RelayCall::Handlers handlers { bind(&EntryExchange::onNotice), bind(&EntryExchange::onHead),
-        bind(&EntryExchange::onChunk), bind(&EntryExchange::onEnd), bind(&EntryExchange::onRefusal),
-        bind(&EntryExchange::onCallFailed), [weak] {
+    RelayCall::Handlers handlers { bind(&EntryExchange::onHead), bind(&EntryExchange::onChunk),
+        bind(&EntryExchange::onEnd), bind(&EntryExchange::onRefusal), bind(&EntryExchange::onCallFailed),
+        [weak] {
             if (auto self = weak.lock(); self && !self->m_finished) {
                 self->pumpBody();
                 self->updatePause();
             }
-        } };
+        },
+        bind(&EntryExchange::onNotice) };
     m_notice = {};
     RequestContext context { m_plan->hasReachedUpstream(), m_worker.m_hooks.notices->find(m_upstream, m_sentAt) };
     m_call = m_worker.m_client.call(candidate.relayAddress, m_head, std::move(handlers), std::move(context));
--- a/src/node/HttpHeaders.cpp
+++ b/src/node/HttpHeaders.cpp
@@ -1,7 +1,6 @@
 #include "HttpHeaders.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace Gooseberrymill {
 
@@ -72,10 +71,12 @@
         if (!isHeaderNamed(header, profile.rateLimit))
             continue;
         signals.namesRate = true;
-        for (auto part : std::views::split(std::string_view(header.value), ',')) {
-            auto rate = parseUpstreamRate(std::string_view(part.begin(), part.end()));
+        for (std::string_view rest = header.value; !rest.empty();) {
+            size_t length = std::min(rest.find(','), rest.size());
+            auto rate = parseUpstreamRate(rest.substr(0, length));
             if (rate && (!signals.rate || *rate < *signals.rate))
                 signals.rate = rate;
+            rest.remove_prefix(std::min(length + 1, rest.size()));
         }
     }
     return signals;
--- a/src/node/RelayClient.h
+++ b/src/node/RelayClient.h
@@ -12,13 +12,13 @@
 class RelayCall : public std::enable_shared_from_this<RelayCall> {
 public:
     struct Handlers {
-        std::function<void(UpstreamNotice&&)> notice; // precedes the head or the refusal
         std::function<void(ResponseHead&&)> head;
         std::function<void(std::string&&)> chunk; // a part of the response body
         std::function<void()> end; // the response is complete
         std::function<void(Refusal&&)> refused; // the executor rejected the request instead of responding
         std::function<void(const Error&, Outcome)> failed; // outcome NotRun: no byte of the request head was written
         std::function<void()> writable; // the call got a connection, or can accept more of the body
+        std::function<void(UpstreamNotice&&)> notice {}; // precedes the head or the refusal
     };
 
     RelayCall(RequestHead, RequestContext, Handlers);
--- a/tests/BackpressureTests.cpp
+++ b/tests/BackpressureTests.cpp
@@ -238,6 +238,7 @@
     HeaderProfile profile;
     auto read = [&](const std::vector<std::string>& values) {
         std::vector<Header> headers;
+        headers.reserve(values.size());
         for (const std::string& it : values)
             headers.push_back({ "gooseberrymill-rate-limit", it });
         return readSignals(headers, profile);
