Take fixed test ports from below the range of outgoing connections

The port had been chosen as any free one, so while its node was down an outgoing connection of another process could take it.

Change: freePort() draws from 10000 to 29999; the directory tests use it in place of their own copy.

--- a/tests/DirectoryProcessTests.cpp
+++ b/tests/DirectoryProcessTests.cpp
@@ -1,7 +1,6 @@
 // Nodes that meet through a directory in the object store (fleet.discovery = "store"), as real processes.
 #define BOOST_TEST_MODULE DirectoryProcess
 #include "FleetHarness.h"
-#include "node/GlibCalls.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,13 +9,6 @@
 
 namespace {
 
-uint16_t freePort()
-{
-    auto socket = listenSocket("127.0.0.1", 0, false);
-    BOOST_REQUIRE(socket);
-    return localPort(socket.value().get());
-}
-
 // Relay ports stay over a restart, as on instances with fixed addresses.
 FleetShape directoryShape()
 {
@@ -24,7 +16,7 @@
     shape.fleetSettings = "discovery = \"store\"\n";
     std::vector<uint16_t> ports;
     for (size_t i = 0; i < shape.nodes; ++i)
-        ports.push_back(freePort());
+        ports.push_back(freePort(SOCK_STREAM));
     shape.extraSettings
         = [ports](size_t i) { return fmt::format("[listen]\nrelay = \"127.0.0.1:{}\"\n", ports.at(i)); };
     return shape;
--- a/tests/FleetHarness.h
+++ b/tests/FleetHarness.h
@@ -465,19 +465,26 @@
 // [SECTION] Paths that can be cut
 //-----------------------------------------------------------------------------
 
-// A port that was free a moment ago, for settings that need a port before the process starts.
+// A port that was free a moment ago, for settings that need a port before the process starts. It lies below the range
+// from which the system takes the ports of outgoing connections, so it stays free while its process is down.
 inline uint16_t freePort(int socketType)
 {
-    int descriptor = socket(AF_INET, socketType, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    bool isBound = !bind(descriptor, reinterpret_cast<sockaddr*>(&address), size)
-        && !getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    close(descriptor);
-    BOOST_REQUIRE(isBound);
-    return ntohs(address.sin_port);
+    constexpr uint32_t first = 10'000;
+    constexpr uint32_t count = 20'000;
+    static std::mt19937 random { std::random_device {}() };
+    for (int i = 0; i < 100; ++i) {
+        int descriptor = socket(AF_INET, socketType, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<uint16_t>(first + random() % count));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bool isBound = !bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        close(descriptor);
+        if (isBound)
+            return ntohs(address.sin_port);
+    }
+    BOOST_FAIL("no free port");
+    return 0;
 }
 
 // Stands before the gossip port of one node. Every sender gets a socket of its own towards the node, so that
