Give a node no part of the retry burst before it knows the fleet

Callers would see repeats beyond the budget of the fleet after an outage of the store: each node that had restarted in it divided the burst by the few nodes that it met first.

Cause: the node's part of the burst follows from the largest fleet that the process has seen, and a process that starts in an outage has seen none. The start rule covers one window only, and an outage lasts longer.

Change: BurstShare in the core holds the whole decision, which stood in DirectoryControl: no burst before a window has passed since the start, nor before the node has known another one for 3 s.

--- a/src/core/RetryBudget.cpp
+++ b/src/core/RetryBudget.cpp
@@ -70,6 +70,23 @@
     m_current = std::max(m_current, liveNodes);
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] BurstShare
+//-----------------------------------------------------------------------------
+
+BurstShare::BurstShare(Instant startedAt, bool isFleetStart)
+    : m_availableFrom(startedAt + (isFleetStart ? discoveryTime : RetryBudget::window()))
+{
+}
+
+void BurstShare::record(uint32_t liveNodes, Instant now)
+{
+    m_size.record(liveNodes, now);
+    if (liveNodes < 2 || std::exchange(m_hasMetOthers, true))
+        return;
+    m_availableFrom = std::max(m_availableFrom, now + discoveryTime);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] AttemptPolicy
 //-----------------------------------------------------------------------------
--- a/src/core/RetryBudget.h
+++ b/src/core/RetryBudget.h
@@ -71,6 +71,26 @@
     Instant m_periodStart {};
 };
 
+// A node's part of a burst that all nodes of the fleet share. It follows from what the node knows of the fleet, so that
+// the parts of all nodes stay within the burst while some of them start, or find each other after an outage.
+class BurstShare {
+public:
+    // A node that has met another one knows all that it can reach when this time has passed.
+    static constexpr Duration discoveryTime = 3s;
+
+    // `isFleetStart`: the whole fleet starts for the first time, so no earlier process of this node has spent anything.
+    BurstShare(Instant startedAt, bool isFleetStart);
+
+    void record(uint32_t liveNodes, Instant now); // call it again and again, also without a change
+    uint32_t nodes() const { return m_size.largest(); } // number of nodes that share the burst
+    Instant availableFrom() const { return m_availableFrom; } // no part before this time
+
+private:
+    FleetSize m_size;
+    Instant m_availableFrom;
+    bool m_hasMetOthers = false; // another node was live once
+};
+
 // Retry budgets of all services at one entry worker. Each access applies the share that the service is currently
 // configured with.
 class RetryBudgets {
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -26,7 +26,6 @@
 constexpr Duration peerTimeout = 1s; // for the reply to a notice
 constexpr Duration lostNodeTimeout = 8s; // a node that answers no notice for this long is considered gone
 constexpr uint32_t failedNoticesUntilLost = 5; // minimum, besides lostNodeTimeout
-constexpr Duration fleetDiscoveryTime = 3s; // a node of a fleet that starts for the first time then knows the others
 constexpr size_t peersComparedWhenIsolated = 2;
 constexpr size_t neighboursComparedAtStart = 2; // two, as one of them may have just started as well
 constexpr std::string_view recordKindPrefix = "nodes-"; // followed by the region: one object kind per region
@@ -89,6 +88,8 @@
     , m_services(std::make_shared<ExecutorServices>())
     , m_election(currentInstant())
     , m_upstream(m_settings.upstreamService, m_settings.upstreamAddress)
+    , m_burstShare(m_startedAt, m_settings.isFleetFirstStart)
+    , m_burstFrom(m_burstShare.availableFrom())
 {
 }
 
@@ -230,14 +231,13 @@
 {
     constexpr double nodeFraction = 0.8; // the rest is for charges that exceed the budget of their node
     auto budgets = std::make_shared<std::map<std::string, RetryBudget>>();
-    Instant burstFrom = m_startedAt + (m_settings.isFleetFirstStart ? fleetDiscoveryTime : RetryBudget::window());
-    auto budgetOf = [this, budgets, burstFrom](const Service& service) -> RetryBudget& {
+    auto budgetOf = [this, budgets](const Service& service) -> RetryBudget& {
         double share = m_settings.retryShare > 0 ? m_settings.retryShare : service.retry.budgetShare;
         RetryBudget& budget = budgets->try_emplace(service.name, share * nodeFraction).first->second;
         uint32_t entries = m_nodeCount.load(std::memory_order_relaxed) * std::max(1U, m_settings.workers);
         budget.setShare(share * nodeFraction);
         budget.setBurst(nodeFraction * m_settings.retryBurst / entries);
-        budget.withholdBurst(burstFrom);
+        budget.withholdBurst(m_burstFrom.load(std::memory_order_relaxed));
         return budget;
     };
     EntryHooks hooks;
@@ -561,8 +561,9 @@
 
 void DirectoryControl::recordFleetSize(Instant now)
 {
-    m_fleetSize.record(static_cast<uint32_t>(m_directory->liveCount()), now);
-    m_nodeCount = m_fleetSize.largest();
+    m_burstShare.record(static_cast<uint32_t>(m_directory->liveCount()), now);
+    m_burstFrom = m_burstShare.availableFrom();
+    m_nodeCount = m_burstShare.nodes();
 }
 
 void DirectoryControl::sendNotices(Instant now)
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -114,8 +114,9 @@
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
     uint16_t m_adminPort = 0;
     std::atomic<uint64_t> m_configurationDigest { 0 }; // digest of the configuration; read by the entry workers
-    FleetSize m_fleetSize;
-    std::atomic<uint32_t> m_nodeCount { 1 }; // FleetSize::largest(); read by the entry workers
+    BurstShare m_burstShare;
+    std::atomic<Instant> m_burstFrom; // BurstShare::availableFrom(); read by the entry workers
+    std::atomic<uint32_t> m_nodeCount { 1 }; // BurstShare::nodes(); read by the entry workers
     WatchRole m_role = WatchRole::None;
     bool m_isStoreReachable = false; // the last call of the configuration driver succeeded
     Instant m_watchBackoffUntil {}; // after a failed store call, this node does not watch before this time
--- a/tests/RetryBudgetTests.cpp
+++ b/tests/RetryBudgetTests.cpp
@@ -289,6 +289,45 @@
     BOOST_TEST(size.largest() == 2U);
 }
 
+// Guards against nodes that restart in an outage of the store and share the burst among the few that they meet first.
+BOOST_AUTO_TEST_CASE(nodesThatFindEachOtherSpendTheBurstOnce)
+{
+    constexpr uint32_t nodes = 36;
+    constexpr double slack = 62;
+    const std::vector<std::pair<Duration, uint32_t>> discovery { { 30s, 1 }, { 60s, 2 }, { 60s + 200ms, 12 },
+        { 61s, nodes }, { 65s, nodes } };
+    uint32_t taken = 0;
+    uint32_t takenAtLast = 0;
+    for (uint32_t node = 0; node < nodes; ++node) {
+        RetryBudget budget(0.2);
+        BurstShare share(at(0s), false);
+        for (const auto& [time, known] : discovery) {
+            share.record(known, at(time));
+            budget.setBurst(slack / share.nodes());
+            budget.withholdBurst(share.availableFrom());
+            bool isAlone = known == 1;
+            while (!isAlone && budget.tryAcquire(at(time))) {
+                ++taken;
+                takenAtLast += time == discovery.back().first ? 1 : 0;
+            }
+        }
+    }
+    BOOST_TEST(taken <= slack);
+    BOOST_TEST(takenAtLast > 0U);
+}
+
+// Guards against a burst that is withheld again whenever the fleet grows, and against one from before a restart.
+BOOST_AUTO_TEST_CASE(burstStartsOnce)
+{
+    BurstShare first(at(1s), true);
+    first.record(20, at(2s));
+    first.record(36, at(50s));
+    BOOST_TEST((first.availableFrom() == at(2s) + BurstShare::discoveryTime));
+    BurstShare restarted(at(1s), false);
+    restarted.record(36, at(2s));
+    BOOST_TEST((restarted.availableFrom() == at(1s) + RetryBudget::window()));
+}
+
 // Guards against calls of retries that come on top of the budget of the service that they call.
 BOOST_AUTO_TEST_CASE(chargedRetriesTakeTheRoomOfGrantedOnes)
 {
