Keep the rate limit through a response that names no request

An upstream that had named a limit got more requests than it allows after a response without the id of its request.

Cause: only a response with another id was ignored. One without any id is refused as no answer to the request, but its missing limit still counted as the upstream's word that the limit had ended.

Change: the signals of a response are read only if it echoes the id that was sent. The check for a missing id stands once.

--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -309,7 +309,7 @@
     readNext();
 }
 
-// A response that belongs to another request, or comes from another process, says nothing about this upstream.
+// A response that may belong to another request, or comes from another process, says nothing about this upstream.
 void ExecutorJob::recordSignals()
 {
     constexpr uint16_t tooManyRequests = 429;
@@ -317,7 +317,7 @@
     const HeaderProfile& profile = m_executor.m_hooks.headers;
     const UpstreamEndpoint& endpoint = m_upstream->endpoint;
     bool isMisdirected = m_response.status == SOUP_STATUS_MISDIRECTED_REQUEST && !endpoint.instance.empty();
-    if (isMisdirected || hasForeignId() || processOf(endpoint) != m_process)
+    if (isMisdirected || hasForeignId() || lacksId() || processOf(endpoint) != m_process)
         return;
     ResponseSignals signals = readSignals(m_response.headers, profile);
     bool isRejected = findHeader(m_response.headers, profile.notRun) || m_response.status == tooManyRequests;
@@ -333,6 +333,12 @@
     return sentId && echoedId && echoedId->value != sentId->value;
 }
 
+bool ExecutorJob::lacksId() const
+{
+    const char* name = m_executor.m_hooks.headers.requestId;
+    return name && findHeader(head().headers, name) && !findHeader(m_response.headers, name);
+}
+
 void ExecutorJob::sendNotice()
 {
     if (!m_upstream)
@@ -403,8 +409,7 @@
         bool isCertain = hasId || !m_call->isOnKeptConnection();
         return isCertain ? RefusalReason::UpstreamShed : RefusalReason::UpstreamInvalid;
     }
-    bool hasSentId = profile.requestId && findHeader(head().headers, profile.requestId);
-    if (hasSentId && !hasId)
+    if (lacksId())
         return RefusalReason::UpstreamInvalid;
     bool isSuccess = m_response.status >= firstSuccess && m_response.status < firstRedirect;
     if (isSuccess && profile.signature && !findHeader(m_response.headers, profile.signature))
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -44,6 +44,7 @@
     void onCancelled();
     void recordSignals(); // reads what the response says about its upstream
     bool hasForeignId() const; // the response names another request
+    bool lacksId() const; // the response names no request, although this one has an id
     void sendNotice(); // tells the entry what the upstream asks of its callers
     void abandonResponse(); // stops reading a response without end
     void streamHead();
--- a/tests/FaultyUpstreamTests.cpp
+++ b/tests/FaultyUpstreamTests.cpp
@@ -176,6 +176,29 @@
     }
 }
 
+// Guards against a response without the id of its request, which may belong to another one, that ends a rate limit.
+BOOST_AUTO_TEST_CASE(unidentifiedResponseSaysNothingOfTheLimit)
+{
+    std::atomic<size_t> arrivals { 0 };
+    RawUpstream raw([&](const std::string& head) {
+        ++arrivals;
+        std::string limit = "Response-Signature: s\r\nServer-Limit: 2\r\nContent-Length: 0\r\n\r\n";
+        return RawResponse { idOf(head) == "second" ? answer("") : headOf("200 OK", idOf(head), limit) };
+    });
+    MeshFleet mesh(raw);
+    BOOST_TEST(mesh.call("GET", "/read/a", "first").status == 200);
+    BOOST_TEST(mesh.call("GET", "/read/b", "second").status == 502);
+    constexpr size_t callers = 8;
+    std::vector<std::thread> threads;
+    for (size_t i = 0; i < callers; ++i)
+        threads.emplace_back([&mesh, i] { mesh.call("GET", "/read/c", fmt::format("id-{}", i)); });
+    for (std::thread& it : threads)
+        it.join();
+    constexpr size_t allowed = 2 + 3; // a rejected request waits for a second at most
+    BOOST_TEST(arrivals <= allowed);
+    BOOST_TEST(arrivals > 2U);
+}
+
 // Guards against taking a request that the upstream rejects for one that may have run.
 BOOST_AUTO_TEST_CASE(rejectionOfTheRequestItselfIsNotRun)
 {
