Soak: two upstreams name a rate limit in each run

Cause: the soak checked no rate limit, so its restarts, pauses and cuts said nothing of one that holds through them.

Change: two of the four upstreams name a limit from the start to the end of the faults. Requests that began at an entry which had passed on such a response, and was not disturbed since, must stay within one and a half times the limit and five more in any 4 s. The stand-in tells target and time of each arrival. The faults of a seed are as before.

--- a/tests/FaultSoakProcessTests.cpp
+++ b/tests/FaultSoakProcessTests.cpp
@@ -1,6 +1,6 @@
 // Soak of the real programs under random faults from outside: signals to the processes, faults of the paths between
-// nodes and of the store, new configurations, in overlapping series. Callers keep their connections open and check
-// what they get while it runs; what upstreams saw is checked at the end.
+// nodes and of the store, new configurations, in overlapping series, while some upstreams name a rate limit. Callers
+// keep their connections open and check what they get while it runs; what upstreams saw is checked at the end.
 //
 //   FaultSoakProcessTests                             seeds that failed once, and one more
 //   GM_SOAK_SEED=100 GM_SOAK_COUNT=50 GM_SOAK_SECONDS=20 FaultSoakProcessTests
@@ -32,7 +32,16 @@
 struct Sent {
     std::string target;
     bool isOrder = false;
+    size_t entry = 0; // node that the request was sent to
     CallerResponse response;
+    Clock::time_point receivedAt {};
+};
+
+// A time in which something disturbed a node.
+struct Disturbance {
+    size_t node = 0;
+    Clock::time_point from {};
+    Clock::time_point to = Clock::time_point::max();
 };
 
 // A caller that keeps its connection to one node and moves on when it closes.
@@ -57,13 +66,17 @@
 private:
     void callOnce()
     {
-        if (!m_connection)
-            m_connection = std::make_unique<HttpCaller>(m_ports[m_random() % m_ports.size()]);
+        if (!m_connection) {
+            m_entry = m_random() % m_ports.size();
+            m_connection = std::make_unique<HttpCaller>(m_ports[m_entry]);
+        }
         Sent sent;
+        sent.entry = m_entry;
         sent.isOrder = m_random() % 2;
         sent.target = fmt::format("/{}/{}-{}", sent.isOrder ? "order" : "read", m_name, m_sent.size());
         sent.response = sent.isOrder ? m_connection->request("POST", sent.target, {}, "one order")
                                      : m_connection->request("GET", sent.target);
+        sent.receivedAt = Clock::now();
         bool isOpen = sent.response.complete && sent.response.header("Connection") != "close";
         if (!isOpen || m_random() % 10 == 0)
             m_connection.reset();
@@ -76,6 +89,7 @@
     std::string m_name;
     std::vector<uint16_t> m_ports;
     std::unique_ptr<HttpCaller> m_connection;
+    size_t m_entry = 0; // node of m_connection
     std::vector<Sent> m_sent;
 };
 
@@ -104,6 +118,7 @@
     }
 
     const std::string& history() const { return m_history; }
+    const std::vector<Disturbance>& disturbances() const { return m_disturbances; }
 
 private:
     struct Ending {
@@ -151,13 +166,24 @@
 
     void note(const std::string& text) { m_history += text + "; "; }
 
+    void endDisturbance(size_t index) { m_disturbances[index].to = Clock::now(); }
+    size_t beginDisturbance(size_t node)
+    {
+        m_disturbances.push_back({ node, Clock::now() });
+        return m_disturbances.size() - 1;
+    }
+
     void pause(size_t i, uint64_t millis)
     {
         if (m_isDown[i])
             return;
         note(fmt::format("pause {} {} ms", i, millis));
+        size_t index = beginDisturbance(i);
         m_fleet.node(i).process->signal(SIGSTOP);
-        after(millis, [this, i] { m_fleet.node(i).process->signal(SIGCONT); });
+        after(millis, [this, i, index] {
+            m_fleet.node(i).process->signal(SIGCONT);
+            endDisturbance(index);
+        });
     }
 
     // Starts the node again after a while. A SIGTERM that takes longer than that is waited for.
@@ -166,12 +192,14 @@
         if (std::exchange(m_isDown[i], true))
             return;
         note(fmt::format("signal {} to {}, {} ms", signal, i, millis));
+        size_t index = beginDisturbance(i);
         m_fleet.node(i).process->signal(signal);
-        after(millis, [this, i] {
+        after(millis, [this, i, index] {
             m_fleet.node(i).process->signal(SIGCONT);
             m_fleet.node(i).process->exitCode();
             m_fleet.startNode(i);
             m_isDown[i] = false;
+            endDisturbance(index);
         });
     }
 
@@ -180,8 +208,12 @@
         constexpr std::array faults { PathFault::Delay, PathFault::Silence, PathFault::OneWay, PathFault::Reset };
         PathFault fault = faults[m_random() % faults.size()];
         note(fmt::format("path fault {} to {}, {} ms", static_cast<int>(fault), i, millis));
+        size_t index = beginDisturbance(i);
         m_paths[i]->setFault(fault);
-        after(millis, [this, i] { m_paths[i]->setFault(PathFault::None); });
+        after(millis, [this, i, index] {
+            m_paths[i]->setFault(PathFault::None);
+            endDisturbance(index);
+        });
     }
 
     void failStore(uint64_t millis)
@@ -207,6 +239,86 @@
     std::array<bool, nodeCount> m_isDown {};
     int m_versions = 0;
     std::string m_history;
+    std::vector<Disturbance> m_disturbances;
+};
+
+// A rate limit that an upstream names in each response. The rates of a run differ, so a rate tells the upstream.
+class NamedLimit {
+public:
+    NamedLimit(Fleet& fleet, size_t upstream)
+        : m_fleet(fleet)
+        , m_upstream(upstream)
+        , m_rate(2 + 0.25 * static_cast<double>(upstream))
+        , m_from(Clock::now())
+    {
+        m_fleet.setUpstreamFault(upstream, fmt::format("header={}:{}", limitHeader, m_rate));
+    }
+
+    void end()
+    {
+        m_to = Clock::now();
+        m_fleet.setUpstreamFault(m_upstream, "");
+    }
+
+    // The arrivals that the limit must cover never exceed it in any 4 s.
+    void check(const std::vector<Caller>& callers, const std::vector<Disturbance>& disturbances,
+        const std::string& context) const
+    {
+        constexpr int64_t windowMillis = 4000;
+        std::vector<int64_t> covered = coveredArrivals(callers, disturbances);
+        double allowed = 1.5 * 4 * m_rate + 5;
+        for (auto first = covered.begin(); first != covered.end(); ++first) {
+            auto last = std::lower_bound(first, covered.end(), *first + windowMillis);
+            BOOST_TEST_REQUIRE(static_cast<double>(last - first) <= allowed,
+                "upstream " << m_upstream << " got " << last - first << " requests in 4 s at a limit of " << m_rate
+                            << " a second; " << context);
+        }
+        BOOST_TEST_MESSAGE("upstream " << m_upstream << ": " << covered.size() << " arrivals at limit " << m_rate);
+    }
+
+private:
+    static constexpr const char* limitHeader = "Gooseberrymill-Rate-Limit";
+    static constexpr auto startTime = 4s; // from the first response that names the limit until it must hold
+    static constexpr auto passOnTime = 500ms; // from a response that an entry has passed on until it is bound by it
+
+    // Times of the arrivals whose entry had passed on the limit, and was not disturbed since.
+    std::vector<int64_t> coveredArrivals(
+        const std::vector<Caller>& callers, const std::vector<Disturbance>& disturbances) const
+    {
+        std::map<std::string, size_t> entries; // by target
+        std::array<std::vector<Clock::time_point>, nodeCount> passedOn;
+        for (const Caller& caller : callers) {
+            for (const Sent& it : caller.sent()) {
+                entries[it.target] = it.entry;
+                if (it.response.header(limitHeader) == fmt::format("{}", m_rate))
+                    passedOn.at(it.entry).push_back(it.receivedAt);
+            }
+        }
+        for (auto& times : passedOn)
+            std::ranges::sort(times);
+        auto isCovered = [&](size_t entry, Clock::time_point time) {
+            const auto& times = passedOn.at(entry);
+            auto next = std::ranges::upper_bound(times, time - passOnTime);
+            if (next == times.begin())
+                return false;
+            return std::ranges::none_of(disturbances,
+                [&](const Disturbance& it) { return it.node == entry && it.from < time && it.to > *std::prev(next); });
+        };
+        std::vector<int64_t> covered;
+        for (const auto& [target, millis] : m_fleet.arrivals(m_upstream)) {
+            Clock::time_point time { std::chrono::milliseconds(millis) };
+            auto entry = entries.find(target);
+            if (entry != entries.end() && time >= m_from + startTime && time <= m_to && isCovered(entry->second, time))
+                covered.push_back(millis);
+        }
+        return covered;
+    }
+
+    Fleet& m_fleet;
+    size_t m_upstream;
+    double m_rate; // requests per second
+    Clock::time_point m_from;
+    Clock::time_point m_to {};
 };
 
 // Fixed ports, as on instances with fixed addresses; peers reach each relay port through a proxy.
@@ -277,8 +389,11 @@
     threads.reserve(callerCount);
     for (Caller& it : callers)
         threads.emplace_back([&it, &isStopped] { it.run(isStopped); });
+    std::array limits { NamedLimit(fleet, seed % nodeCount), NamedLimit(fleet, (seed + 1) % nodeCount) };
     Faults faults(fleet, paths, seed);
     faults.run(length);
+    for (NamedLimit& it : limits)
+        it.end();
     std::string context = fmt::format("seed {}: {}", seed, faults.history());
     for (size_t i = 0; i < fleet.size(); ++i) {
         bool isServing = waitUntil([&] { return fleet.call(i, "GET", "/read/after").status == 200; }, recoveryTime);
@@ -287,6 +402,8 @@
     isStopped = true;
     for (std::thread& it : threads)
         it.join();
+    for (const NamedLimit& it : limits)
+        it.check(callers, faults.disturbances(), context);
     auto runs = runsOf(fleet);
     size_t served = 0;
     size_t total = 0;
--- a/tests/FleetHarness.h
+++ b/tests/FleetHarness.h
@@ -398,6 +398,14 @@
         return nlohmann::json::parse(response.body);
     }
 
+    // Target and steady clock, in milliseconds, of each request that reached the upstream.
+    std::vector<std::pair<std::string, int64_t>> arrivals(size_t i)
+    {
+        auto response = callPort(node(i).upstreamPort, "GET", "/.stand-in/arrivals", { { "Connection", "close" } });
+        BOOST_REQUIRE_MESSAGE(response.complete, "upstream " << i << " does not answer");
+        return nlohmann::json::parse(response.body);
+    }
+
     size_t total(size_t i) { return counts(i)["total"]; }
     size_t runsAt(size_t i, const std::string& target) { return counts(i)["targets"].value(target, size_t(0)); }
 
--- a/tests/UpstreamStandIn.h
+++ b/tests/UpstreamStandIn.h
@@ -9,6 +9,7 @@
 //
 // For tests of whole processes, the same port serves:
 //   GET  /.stand-in/counts                      {"total", "targets": {target: n}, "bodies": {digest: n}}
+//   GET  /.stand-in/arrivals                    [[target, milliseconds of the steady clock]]
 //   POST /.stand-in/faults?fault=F&delayMs=N&status=N&size=N&header=H   for requests without a Stand-In-Fault header
 //   POST /.stand-in/state?value=STATE           changes the announced state
 #pragma once
@@ -36,6 +37,11 @@
     return bytes;
 }
 
+inline int64_t millisOf(std::chrono::steady_clock::time_point time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
 // FNV-1a; enough to tell contents apart in a test.
 struct Digest {
     uint64_t value = 0xcbf29ce484222325;
@@ -212,6 +218,12 @@
         return nlohmann::json { { "total", total }, { "targets", m_counts }, { "bodies", m_bodyCounts } }.dump();
     }
 
+    std::string arrivalsJson()
+    {
+        std::lock_guard lock(m_mutex);
+        return nlohmann::json(m_arrivals).dump();
+    }
+
     void serveControl(SoupServerMessage* message, const std::string& path, GHashTable* query)
     {
         std::map<std::string, std::string> values;
@@ -227,7 +239,11 @@
             m_faults = values;
         if (path == "/.stand-in/state" && onState)
             onState(values["value"]);
-        std::string text = path == "/.stand-in/counts" ? countsJson() : "{}";
+        std::string text = "{}";
+        if (path == "/.stand-in/counts")
+            text = countsJson();
+        else if (path == "/.stand-in/arrivals")
+            text = arrivalsJson();
         soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
         soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
     }
@@ -253,6 +269,7 @@
             return;
         std::lock_guard lock(self->m_mutex);
         ++self->m_counts[exchange->target];
+        self->m_arrivals.emplace_back(exchange->target, millisOf(std::chrono::steady_clock::now()));
         self->m_lastHeaders.clear();
         soup_message_headers_foreach(
             soup_server_message_get_request_headers(message),
@@ -424,6 +441,7 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, size_t> m_counts;
+    std::vector<std::pair<std::string, int64_t>> m_arrivals; // target and steady clock in milliseconds
     std::map<std::string, size_t> m_bodyCounts; // by digest; requests whose body came whole
     std::map<std::string, std::string> m_faults; // for requests without a fault of their own
     std::vector<Header> m_lastHeaders;
