Charge a retry to the service that it calls

Around a change of the configuration a service could get more repeats than its budget allows.

Cause: the budget was fixed when the request arrived. An executor with a newer configuration makes the entry follow the route to another service; retries there were taken from the budget of the former one.

Change: the entry asks the budget of the service that the request is for at that moment.

--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -288,12 +288,11 @@
         return;
     if (m_worker.m_hooks.offered)
         m_worker.m_hooks.offered(*m_match.service);
-    auto allow = m_worker.m_hooks.allowRetry;
     uint32_t maxAttempts = m_match.route->maxAttempts ? m_match.route->maxAttempts : m_match.service->retry.maxAttempts;
-    m_plan.emplace(m_match.route->repeatable, maxAttempts,
-        allow ? [allow, routes = m_routes, service = m_match.service] { return allow(*service); }
-              : std::function<bool()>(),
-        maxUndispatchedRetries);
+    std::function<bool()> allowRetry;
+    if (m_worker.m_hooks.allowRetry)
+        allowRetry = [this] { return m_worker.m_hooks.allowRetry(*m_match.service); }; // the route may move meanwhile
+    m_plan.emplace(m_match.route->repeatable, maxAttempts, std::move(allowRetry), maxUndispatchedRetries);
     startAttempt();
 }
 
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -71,6 +71,18 @@
     return 0;
 }
 
+// All routes of the shop lead to another service.
+std::shared_ptr<const RouteTable> routesMovedTo(const std::string& service)
+{
+    auto moved = std::make_shared<Configuration>();
+    moved->services = TestFleet::routes()->documents()[0]->services;
+    Service other = moved->services[0];
+    other.name = service;
+    moved->services[0].routes.clear();
+    moved->services.push_back(other);
+    return std::make_shared<const RouteTable>(std::vector<std::shared_ptr<const Configuration>> { moved });
+}
+
 } // namespace
 
 // Limits the quarantine of AddressSanitizer, so that freed memory does not count in the peak read by the memory test.
@@ -626,21 +638,50 @@
 BOOST_AUTO_TEST_CASE(requestFollowsItsRouteToAnotherService)
 {
     TestFleet fleet;
-    auto moved = std::make_shared<Configuration>();
-    moved->services = fleet.routes()->documents()[0]->services;
-    Service other = moved->services[0];
-    other.name = "other";
-    moved->services[0].routes.clear();
-    moved->services.push_back(other);
-    auto table = std::make_shared<const RouteTable>(std::vector<std::shared_ptr<const Configuration>> { moved });
     HttpCaller caller(fleet.port());
-    fleet.setExecutorRoutes(table); // the entry still uses the former routes
+    fleet.setExecutorRoutes(routesMovedTo("other")); // the entry still uses the former routes
     CallerResponse response = caller.request("POST", "/order/a", {}, "x");
     BOOST_TEST(response.status == 503);
     BOOST_TEST(!response.header(HeaderName::retryAfter).empty());
     BOOST_TEST(response.header(HeaderName::outcome) == "not-run");
 }
 
+// Guards against retries at a service that are charged to the budget of another one, from which the route has moved.
+BOOST_AUTO_TEST_CASE(retryIsChargedToTheServiceThatItCalls)
+{
+    std::mutex mutex;
+    std::vector<std::string> charged;
+    FleetOptions options { .nodes = 2 };
+    options.entryHooks.allowRetry = [&](const Service& service) {
+        std::lock_guard lock(mutex);
+        charged.push_back(service.name);
+        return false;
+    };
+    TestFleet fleet(options);
+    CandidateList candidates = fleet.candidates();
+    candidates[1].service = std::string("other");
+    fleet[1].endpoint.service = "other";
+    fleet[1].node->setUpstream(fleet[1].endpoint);
+    std::ranges::sort(candidates, {}, [](const Candidate& it) { return std::string(it.service); });
+    fleet.setCandidates(candidates);
+    auto moved = routesMovedTo("other");
+    fleet.setExecutorRoutes(moved);
+    fleet[1].node->setRoutes(moved);
+    std::promise<void> release;
+    fleet[0].node->postToExecutor([released = release.get_future().share()] { released.wait(); });
+    CallerResponse response;
+    std::thread request([&] {
+        const std::vector<Header> fails { { "Stand-In-Fault", "status" }, { "Stand-In-Status", "500" } };
+        response = HttpCaller(fleet.port(0)).request("GET", "/read/a", fails);
+    });
+    std::this_thread::sleep_for(100ms); // lets the entry send the request by the former routes
+    fleet[0].node->setRoutes(moved);
+    release.set_value();
+    request.join();
+    BOOST_TEST(response.status == 500);
+    BOOST_TEST(charged == std::vector<std::string> { "other" }, boost::test_tools::per_element());
+}
+
 // Guards against losing a request to an executor that is frozen, overloaded or behind a network partition not yet
 // detected: the request is retried elsewhere within a second, and the first executor does not run it when it resumes.
 BOOST_AUTO_TEST_CASE(silentExecutorNeverRunsWhatItDidNotTake)
