Log documents that the store returns and that are not newer than the one in force

Cause: the log cannot tell a configuration that was not received from one that was received and dropped as old: a drop writes no line, and configuration.in_force names only the revision that the store gave.

Change: configuration.outdated names both documents, once for each received one; configuration.in_force names the change.

--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -199,6 +199,7 @@
     for (const ConfigurationRecord& it : documents) {
         if (it.version < m_ledger.version(it.name))
             ++m_staleReads; // from a store replica that lags behind, or a store restored from a backup
+        reportIfOutdated(it);
         considerDocument(it);
         if (m_role == WatchRole::Watcher && !m_watches.contains(it.name))
             startWatch(it.name, now);
@@ -237,8 +238,10 @@
     auto it = m_watches.find(name);
     if (it != m_watches.end())
         m_watches.erase(it);
-    if (document)
+    if (document) {
+        reportIfOutdated(*document);
         considerDocument(*document);
+    }
     applyPendingDocuments();
     // After a watch that returned no higher version, the next read opens a new one. Opening it here would loop without
     // end if the store kept answering immediately.
@@ -255,6 +258,21 @@
                 now + m_settings.unavailableBackoff + jitter(m_settings.readJitter));
 }
 
+void ConfigurationSync::reportIfOutdated(const ConfigurationRecord& document)
+{
+    auto withoutText = [](const ConfigurationRecord& it) {
+        return ConfigurationRecord { it.name, it.version, it.changeId, it.author, {} };
+    };
+    const ConfigurationRecord* inForce = m_ledger.find(document.name);
+    if (!inForce || document.version > inForce->version || document.changeId == inForce->changeId)
+        return;
+    ConfigurationRecord& last = m_outdated[document.name];
+    if (last.version == document.version && last.changeId == document.changeId)
+        return;
+    last = withoutText(document);
+    m_actions.emplace_back(ReportOutdated { last, withoutText(*inForce) });
+}
+
 // Queues a document to be applied if it is newer than those in force, rejected and queued.
 void ConfigurationSync::considerDocument(const ConfigurationRecord& document)
 {
--- a/src/core/ConfigurationLedger.h
+++ b/src/core/ConfigurationLedger.h
@@ -105,7 +105,12 @@
 struct AnnounceDigest {
     uint64_t digest = 0; // the new digest, to be sent to peers at once
 };
-using SyncAction = std::variant<QueryPeer, ReadStore, WatchStore, ApplyDocument, AnnounceDigest>;
+// The store returned another document than the one in force, and it is not newer. Reported once for each such document.
+struct ReportOutdated {
+    ConfigurationRecord received; // without its text
+    ConfigurationRecord inForce; // without its text
+};
+using SyncAction = std::variant<QueryPeer, ReadStore, WatchStore, ApplyDocument, AnnounceDigest, ReportOutdated>;
 
 // Decides when to query peers and when to read and watch the store, and which documents to apply. A document is applied
 // only if its version is higher than the one in force, so an outdated answer cannot revert it.
@@ -149,6 +154,7 @@
     void startRead(Instant now);
     void startWatch(const std::string& name, Instant now);
     void considerDocument(const ConfigurationRecord&);
+    void reportIfOutdated(const ConfigurationRecord&);
     void applyPendingDocuments();
     void tryEndBootstrap(Instant now);
     Duration jitter(Duration limit);
@@ -166,6 +172,7 @@
     // Highest version received of each document, to be applied.
     std::map<std::string, ConfigurationRecord, std::less<>> m_pendingDocuments;
     std::map<std::string, uint64_t, std::less<>> m_rejectedVersions; // highest version of each name that did not parse
+    std::map<std::string, ConfigurationRecord, std::less<>> m_outdated; // latest one reported of each document
     std::map<std::string, Instant, std::less<>> m_watches; // pending watches: name and start time
     std::optional<Instant> m_readStartedAt; // set while a read is pending
     std::optional<Instant> m_nextReadAt;
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -157,10 +157,19 @@
         m_documents[record.name] = std::move(document);
         publish();
         m_sync.accepted(record, currentInstant());
-        log(LogLevel::Info, "configuration.in_force", { { "document", record.name }, { "version", record.version } });
+        log(LogLevel::Info, "configuration.in_force",
+            { { "document", record.name }, { "version", record.version }, { "change", record.changeId } });
         m_hooks.accepted(record);
     }
 
+    void carryOut(const ReportOutdated& report)
+    {
+        log(LogLevel::Warning, "configuration.outdated",
+            { { "document", report.received.name }, { "version", report.received.version },
+                { "change", report.received.changeId }, { "version_in_force", report.inForce.version },
+                { "change_in_force", report.inForce.changeId } });
+    }
+
     static WatchEnd toWatchEnd(const Error& error)
     {
         if (error.code == ErrorCode::Timeout)
--- a/tests/ConfigurationLedgerTests.cpp
+++ b/tests/ConfigurationLedgerTests.cpp
@@ -278,6 +278,8 @@
             sendDigest(i, m_random() % nodeCount);
     }
 
+    void perform(size_t, const ReportOutdated&) { }
+
     void setInForce(size_t i, const ConfigurationRecord& record)
     {
         uint64_t& version = nodes[i].inForce[record.name];
@@ -596,3 +598,22 @@
         BOOST_TEST(countReads(sync.takeActions()) == (end == WatchEnd::Failed ? 1U : 0U));
     }
 }
+
+// Guards against a document of the store that is dropped without a line in the log, or with one at each read.
+BOOST_AUTO_TEST_CASE(outdatedDocumentIsReportedOnce)
+{
+    Instant now(1000s);
+    ConfigurationSync sync({}, 1, now);
+    sync.accepted(document("main", 7), now);
+    sync.takeActions();
+    auto countReports = [&](const ConfigurationRecord& received) {
+        sync.storeAnswered(std::span(&received, 1), now);
+        std::vector<SyncAction> actions = sync.takeActions();
+        return std::ranges::count_if(
+            actions, [](const SyncAction& it) { return std::holds_alternative<ReportOutdated>(it); });
+    };
+    BOOST_TEST(countReports(document("main", 5)) == 1);
+    BOOST_TEST(countReports(document("main", 5)) == 0);
+    BOOST_TEST(countReports(document("main", 7)) == 0);
+    BOOST_TEST(countReports(document("main", 6)) == 1);
+}
