Order configuration documents by the operator's change number

What callers saw: a 404 for a route that had been added, and requests handled by version 11 or older 2.6 s after version 13 had been confirmed.

Cause: nodes order documents by the revision that the store gave them. After the store came back from an older copy, the operator's next version has a lower revision than the one in force, and is dropped as old until the counter has passed it. Positions of one history were compared with those of another one.

Change: a document has a change number that rises with each change, whatever the store does; the ledger, the digest, the queries between nodes and the memory of rejected documents order by it. It is read from the operator's version (r12), which peers already transmit as the change id, so no message changes; nodes of the older release go on comparing revisions. A version of another form is malformed. Documents without a number are ordered by revision as before.

--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -9,9 +9,14 @@
 // [SECTION] Ledger
 //-----------------------------------------------------------------------------
 
+bool isNewer(const ConfigurationRecord& a, const ConfigurationRecord& b)
+{
+    return a.changeNumber && b.changeNumber ? a.changeNumber > b.changeNumber : a.version > b.version;
+}
+
 bool ConfigurationLedger::updateIfNewer(const ConfigurationRecord& record)
 {
-    if (record.version <= version(record.name))
+    if (!isNewerThanHeld(record))
         return false;
     m_documents[record.name] = record;
     updateDigest();
@@ -24,6 +29,14 @@
     return record ? record->version : 0;
 }
 
+bool ConfigurationLedger::isNewerThanHeld(const ConfigurationRecord& record) const
+{
+    if (!record.version)
+        return false; // removed from the store
+    const ConfigurationRecord* held = find(record.name);
+    return !held || isNewer(record, *held);
+}
+
 const ConfigurationRecord* ConfigurationLedger::find(std::string_view name) const
 {
     auto it = m_documents.find(name);
@@ -34,7 +47,7 @@
 {
     std::vector<ConfigurationRecord> records;
     for (const auto& [name, record] : m_documents)
-        records.push_back({ name, record.version, record.changeId, {}, {} });
+        records.push_back({ name, record.version, record.changeId, {}, {}, record.changeNumber });
     return records;
 }
 
@@ -43,7 +56,7 @@
     ConfigurationReply reply;
     for (const auto& [name, record] : m_documents) {
         auto it = std::ranges::find(query.held, name, &ConfigurationRecord::name);
-        if (it == query.held.end() || it->version < record.version)
+        if (it == query.held.end() || isNewer(record, *it))
             reply.newer.push_back(record);
     }
     return reply;
@@ -53,7 +66,7 @@
 {
     m_digest = 0;
     for (const auto& [name, record] : m_documents) {
-        uint64_t hash = XXH64(name.data(), name.size(), record.version);
+        uint64_t hash = XXH64(name.data(), name.size(), record.changeNumber ? record.changeNumber : record.version);
         m_digest = XXH64(&hash, sizeof(hash), m_digest);
     }
 }
@@ -197,10 +210,9 @@
     m_readStartedAt.reset();
     m_hasStoreAnswer = true;
     for (const ConfigurationRecord& it : documents) {
-        if (it.version < m_ledger.version(it.name))
+        if (const ConfigurationRecord* held = m_ledger.find(it.name); held && isNewer(*held, it))
             ++m_staleReads; // from a store replica that lags behind, or a store restored from a backup
-        reportIfOutdated(it);
-        considerDocument(it);
+        considerStored(it);
         if (m_role == WatchRole::Watcher && !m_watches.contains(it.name))
             startWatch(it.name, now);
     }
@@ -219,16 +231,12 @@
         m_nextReadAt = now + m_settings.unavailableBackoff + jitter(m_settings.readJitter);
 }
 
-// Watches a document from the highest version that this node has seen of it, applied or not.
+// Watches a document from the newest version that the store has returned of it, applied or not.
 void ConfigurationSync::startWatch(const std::string& name, Instant now)
 {
     m_watches[name] = now;
     ++m_storeCalls;
-    uint64_t version = m_ledger.version(name);
-    if (auto it = m_pendingDocuments.find(name); it != m_pendingDocuments.end())
-        version = std::max(version, it->second.version);
-    if (auto it = m_rejectedVersions.find(name); it != m_rejectedVersions.end())
-        version = std::max(version, it->second);
+    uint64_t version = m_storeVersions[name];
     m_actions.emplace_back(WatchStore { name, version, m_settings.watchTimeout });
 }
 
@@ -238,16 +246,14 @@
     auto it = m_watches.find(name);
     if (it != m_watches.end())
         m_watches.erase(it);
-    if (document) {
-        reportIfOutdated(*document);
-        considerDocument(*document);
-    }
+    if (document)
+        considerStored(*document);
     applyPendingDocuments();
     // After a watch that returned no higher version, the next read opens a new one. Opening it here would loop without
     // end if the store kept answering immediately.
     if (m_role != WatchRole::Watcher)
         return;
-    bool hasNewVersion = document && document->version > m_ledger.version(name);
+    bool hasNewVersion = document && m_ledger.isNewerThanHeld(*document);
     bool endedNormally = m_settings.reopensWatch && !document && end == WatchEnd::Unchanged;
     if (hasNewVersion || endedNormally)
         startWatch(std::string(name), now);
@@ -258,13 +264,22 @@
                 now + m_settings.unavailableBackoff + jitter(m_settings.readJitter));
 }
 
+// Handles a document that the store returned.
+void ConfigurationSync::considerStored(const ConfigurationRecord& document)
+{
+    uint64_t& version = m_storeVersions[document.name];
+    version = std::max(version, document.version);
+    reportIfOutdated(document);
+    considerDocument(document);
+}
+
 void ConfigurationSync::reportIfOutdated(const ConfigurationRecord& document)
 {
     auto withoutText = [](const ConfigurationRecord& it) {
         return ConfigurationRecord { it.name, it.version, it.changeId, it.author, {} };
     };
     const ConfigurationRecord* inForce = m_ledger.find(document.name);
-    if (!inForce || document.version > inForce->version || document.changeId == inForce->changeId)
+    if (!inForce || isNewer(document, *inForce) || document.changeId == inForce->changeId)
         return;
     ConfigurationRecord& last = m_outdated[document.name];
     if (last.version == document.version && last.changeId == document.changeId)
@@ -276,14 +291,13 @@
 // Queues a document to be applied if it is newer than those in force, rejected and queued.
 void ConfigurationSync::considerDocument(const ConfigurationRecord& document)
 {
-    if (document.version <= m_ledger.version(document.name))
+    if (!m_ledger.isNewerThanHeld(document))
         return;
-    if (auto it = m_rejectedVersions.find(document.name);
-        it != m_rejectedVersions.end() && document.version <= it->second)
+    if (auto it = m_rejected.find(document.name); it != m_rejected.end() && !isNewer(document, it->second))
         return;
-    ConfigurationRecord& best = m_pendingDocuments[document.name];
-    if (document.version > best.version)
-        best = document;
+    auto [it, isFirst] = m_pendingDocuments.try_emplace(document.name, document);
+    if (!isFirst && isNewer(document, it->second))
+        it->second = document;
 }
 
 void ConfigurationSync::applyPendingDocuments()
@@ -316,8 +330,9 @@
 
 void ConfigurationSync::rejected(const ConfigurationRecord& document, Instant)
 {
-    uint64_t& version = m_rejectedVersions[document.name];
-    version = std::max(version, document.version);
+    auto [it, isFirst] = m_rejected.try_emplace(document.name, document);
+    if (!isFirst && isNewer(document, it->second))
+        it->second = document;
     if (!isReady())
         m_isBootstrapping = true;
 }
--- a/src/core/ConfigurationLedger.h
+++ b/src/core/ConfigurationLedger.h
@@ -15,16 +15,22 @@
 // [SECTION] Ledger
 //-----------------------------------------------------------------------------
 
-// The configuration documents in force, by name. The version of a document never goes down.
+// Whether `a` is newer than `b`. Both must be of the same document. Their change numbers decide, if both have one:
+// after the store was restored from a copy, a newer document may have a lower version than an older one.
+bool isNewer(const ConfigurationRecord& a, const ConfigurationRecord& b);
+
+// The configuration documents in force, by name. A document is only replaced by a newer one.
 class ConfigurationLedger {
 public:
-    // Stores the document and returns true if its version is higher than the one held, else does nothing.
+    // Stores the document and returns true if it is newer than the one held, else does nothing.
     bool updateIfNewer(const ConfigurationRecord&);
 
     uint64_t version(std::string_view name) const; // 0 if the document is not held
+    bool isNewerThanHeld(const ConfigurationRecord&) const; // also true if no document of this name is held
     const ConfigurationRecord* find(std::string_view name) const;
     bool isEmpty() const { return m_documents.empty(); }
-    uint64_t digest() const { return m_digest; } // hash of all (name, version) pairs; 0 if there are none
+    // Hash of all names with their change numbers, or versions where there is no number; 0 if there are none.
+    uint64_t digest() const { return m_digest; }
 
     std::vector<ConfigurationRecord> held() const; // all documents without their texts
     ConfigurationReply newerThan(const ConfigurationQuery&) const; // complete documents that the querying node lacks
@@ -113,7 +119,7 @@
 using SyncAction = std::variant<QueryPeer, ReadStore, WatchStore, ApplyDocument, AnnounceDigest, ReportOutdated>;
 
 // Decides when to query peers and when to read and watch the store, and which documents to apply. A document is applied
-// only if its version is higher than the one in force, so an outdated answer cannot revert it.
+// only if it is newer than the one in force, so an outdated answer cannot revert it.
 class ConfigurationSync {
 public:
     ConfigurationSync(ConfigurationSyncSettings, uint64_t seed, Instant now);
@@ -153,6 +159,7 @@
     void queryNextPeers(Instant now);
     void startRead(Instant now);
     void startWatch(const std::string& name, Instant now);
+    void considerStored(const ConfigurationRecord&);
     void considerDocument(const ConfigurationRecord&);
     void reportIfOutdated(const ConfigurationRecord&);
     void applyPendingDocuments();
@@ -169,9 +176,9 @@
     Instant m_bootstrapDeadline;
     std::vector<std::string> m_peers; // to query until a first document is in force
     std::vector<PeerQuery> m_peerQueries;
-    // Highest version received of each document, to be applied.
-    std::map<std::string, ConfigurationRecord, std::less<>> m_pendingDocuments;
-    std::map<std::string, uint64_t, std::less<>> m_rejectedVersions; // highest version of each name that did not parse
+    std::map<std::string, ConfigurationRecord, std::less<>> m_pendingDocuments; // newest ones received, to be applied
+    std::map<std::string, ConfigurationRecord, std::less<>> m_rejected; // newest one of each name that did not parse
+    std::map<std::string, uint64_t, std::less<>> m_storeVersions; // newest version that the store returned, by name
     std::map<std::string, ConfigurationRecord, std::less<>> m_outdated; // latest one reported of each document
     std::map<std::string, Instant, std::less<>> m_watches; // pending watches: name and start time
     std::optional<Instant> m_readStartedAt; // set while a read is pending
--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -132,10 +132,13 @@
 // A configuration document that is in force at a node.
 struct ConfigurationRecord {
     std::string name;
-    uint64_t version = 0;
+    uint64_t version = 0; // revision that the store gave it; comparable only while the store loses nothing
     std::string changeId;
     std::string author;
     std::string text; // TOML text; empty in a ConfigurationQuery
+    // Rises with each change, whatever the store does; 0 if the format has no such number. Not transmitted: the
+    // receiver derives it from the change id.
+    uint64_t changeNumber = 0;
     template <class Archive> void serialize(Archive& archive) { archive(name, version, changeId, author, text); }
 };
 
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -27,6 +27,8 @@
     std::string_view kind = configurationKind;
     Result<ConfigurationObject> (*parseObject)(std::string_view json) = &parseConfigurationObject;
     FileResult<Configuration> (*parseText)(std::string_view text, std::string file) = &parseConfiguration;
+    // Number that rises with each change of a document, from its change id; 0 if it has none.
+    uint64_t (*changeNumber)(std::string_view changeId) = [](std::string_view) { return uint64_t { 0 }; };
 };
 
 template <ObjectStore Store> class ConfigurationDriver {
@@ -61,7 +63,11 @@
     }
 
     // Answers a peer's query with the documents that are newer than its own.
-    ConfigurationReply answer(const ConfigurationQuery& query) const { return m_sync.ledger().newerThan(query); }
+    ConfigurationReply answer(ConfigurationQuery query) const
+    {
+        numberChanges(query.held);
+        return m_sync.ledger().newerThan(query);
+    }
     const ConfigurationLedger& ledger() const { return m_sync.ledger(); }
     bool isReady() const { return m_sync.isReady(); }
     uint64_t storeCalls() const { return m_sync.storeCalls(); }
@@ -91,16 +97,21 @@
         std::string address = m_hooks.relayAddress(queryPeer.peer);
         if (address.empty())
             return m_sync.peerFailed(queryPeer.peer, currentInstant());
-        m_client.query(
-            address, queryPeer.query, guarded([this, peer = queryPeer.peer](const Result<RelayMessage>& result) {
-                run([&](Instant now) {
-                    auto* reply = result ? std::get_if<ConfigurationReply>(&result.value()) : nullptr;
-                    if (reply)
-                        m_sync.peerAnswered(peer, *reply, now);
-                    else
-                        m_sync.peerFailed(peer, now);
-                });
-            }));
+        m_client.query(address, queryPeer.query, guarded([this, peer = queryPeer.peer](Result<RelayMessage> result) {
+            run([&](Instant now) {
+                auto* reply = result ? std::get_if<ConfigurationReply>(&result.value()) : nullptr;
+                if (!reply)
+                    return m_sync.peerFailed(peer, now);
+                numberChanges(reply->newer);
+                m_sync.peerAnswered(peer, *reply, now);
+            });
+        }));
+    }
+
+    void numberChanges(std::span<ConfigurationRecord> records) const
+    {
+        for (ConfigurationRecord& it : records)
+            it.changeNumber = m_format.changeNumber(it.changeId);
     }
 
     void carryOut(const ReadStore&)
@@ -201,7 +212,8 @@
             return std::nullopt;
         }
         const ConfigurationObject& document = parsed.value();
-        return ConfigurationRecord { object.name, object.version, document.changeId, document.author, document.text };
+        return ConfigurationRecord { object.name, object.version, document.changeId, document.author, document.text,
+            m_format.changeNumber(document.changeId) };
     }
 
     Store* m_store;
--- a/tests/ConfigurationLedgerTests.cpp
+++ b/tests/ConfigurationLedgerTests.cpp
@@ -617,3 +617,78 @@
     BOOST_TEST(countReports(document("main", 7)) == 0);
     BOOST_TEST(countReports(document("main", 6)) == 1);
 }
+
+namespace {
+
+ConfigurationRecord numbered(uint64_t changeNumber, uint64_t version)
+{
+    ConfigurationRecord record = document("main", version);
+    record.changeId = fmt::format("r{}", changeNumber);
+    record.changeNumber = changeNumber;
+    return record;
+}
+
+// Puts each document that is to be applied into force. Returns the change number in force.
+uint64_t applyAll(ConfigurationSync& sync, Instant now)
+{
+    for (const SyncAction& action : sync.takeActions()) {
+        if (const auto* apply = std::get_if<ApplyDocument>(&action))
+            sync.accepted(apply->document, now);
+    }
+    return sync.ledger().find("main") ? sync.ledger().find("main")->changeNumber : 0;
+}
+
+} // namespace
+
+// Guards against a newer document that is dropped because the store, restored from a copy, gave it a lower version, and
+// against the older copy coming into force.
+BOOST_AUTO_TEST_CASE(changeNumbersDecideAfterTheStoreWasRestored)
+{
+    ConfigurationSyncSettings settings;
+    settings.bootstrapTimeout = 0s;
+    Instant now(1000s);
+    ConfigurationSync sync(settings, 1, now);
+    auto read = [&](const ConfigurationRecord& stored) {
+        sync.storeAnswered(std::span(&stored, 1), now);
+        return applyAll(sync, now);
+    };
+    BOOST_TEST(read(numbered(12, 41)) == 12U);
+    BOOST_TEST(read(numbered(10, 39)) == 12U);
+    BOOST_TEST(read(numbered(12, 40)) == 12U);
+    BOOST_TEST(read(numbered(13, 41)) == 13U);
+    sync.peerAnswered("peer", { { numbered(12, 500) } }, now);
+    BOOST_TEST(applyAll(sync, now) == 13U);
+    ConfigurationLedger behind;
+    behind.updateIfNewer(numbered(12, 500));
+    BOOST_TEST(sync.ledger().newerThan({ behind.held() }).newer.size() == 1U);
+    BOOST_TEST(behind.newerThan({ sync.ledger().held() }).newer.empty());
+}
+
+// Guards against nodes that query each other without end because they hold one document under two versions of the
+// store.
+BOOST_AUTO_TEST_CASE(digestIsTheSameForOneChangeUnderTwoStoreVersions)
+{
+    ConfigurationLedger before;
+    ConfigurationLedger after;
+    before.updateIfNewer(numbered(12, 41));
+    after.updateIfNewer(numbered(12, 38));
+    BOOST_TEST(before.digest() == after.digest());
+    after.updateIfNewer(numbered(13, 41));
+    BOOST_TEST(before.digest() != after.digest());
+}
+
+// Guards against a valid document that is refused because an invalid one had a higher version before the restoration.
+BOOST_AUTO_TEST_CASE(rejectedDocumentDoesNotBlockANewerOneWithALowerVersion)
+{
+    ConfigurationSyncSettings settings;
+    settings.bootstrapTimeout = 0s;
+    Instant now(1000s);
+    ConfigurationSync sync(settings, 1, now);
+    ConfigurationRecord invalid = numbered(11, 41);
+    ConfigurationRecord valid = numbered(12, 40);
+    sync.storeAnswered(std::span(&invalid, 1), now);
+    sync.takeActions();
+    sync.rejected(invalid, now);
+    sync.storeAnswered(std::span(&valid, 1), now);
+    BOOST_TEST(applyAll(sync, now) == 12U);
+}
--- a/tests/PlatformAdapterTests.cpp
+++ b/tests/PlatformAdapterTests.cpp
@@ -104,6 +104,17 @@
     BOOST_TEST(!mesh().configuration.parseObject("{}"));
 }
 
+// Guards against versions that are compared as texts, or by anything but the operator's own number.
+BOOST_AUTO_TEST_CASE(readsTheNumberOfAVersion)
+{
+    auto number = mesh().configuration.changeNumber;
+    BOOST_TEST(number("r9") == 9U);
+    BOOST_TEST(number("r12") == 12U);
+    for (std::string_view text : { "", "r", "12", "r-1", "r1x", "r 1", "r99999999999999999999" })
+        BOOST_TEST(number(text) == 0U, text);
+    BOOST_TEST(!mesh().configuration.parseObject(R"({"version":"newest","routes":{},"services":{}})"));
+}
+
 // Guards against unconditional writes, and against store responses being mapped to the wrong outcome.
 BOOST_AUTO_TEST_CASE(speaksToTheStore)
 {
