Tell the versions of a store's eras apart

Cause: the store client kept the highest revision seen of each kind and watched from it, also after the store had come back from an older copy. A restored store answers such a watch with 410, or, once the revision has been given out again, with what came after it only. A condition on a revision of before could hold for other content.

Change: StoreHistory in the core keeps the era that the store names in its responses (Store-Era, decoded in platform/; the store stand-in and this project's own store protocol use History-Era) and the positions known in it. Versions contain the era, so those of two eras never match. A watch that a new era overtakes ends as one whose history is gone; a late response of an earlier era fails. A header that is missing or no number changes nothing, and a single one that is too high does not last.

Evidence: with the header not decoded, watchFromAnEarlierEraEnds, conditionOfAnEarlierEraConflicts and lateResponseOfAnEarlierEraFails fail: the watch times out, the removal of other content succeeds, the late response is taken. With it they pass.

--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -54,6 +54,7 @@
 #include "core/Replay.h" // replay of a trace in virtual time
 #include "core/RetryBudget.h" // limit on retries and decision on another attempt
 #include "core/RoundRobinBalancer.h" // baseline for comparison with Balancer
+#include "core/StoreHistory.h" // eras of a store that may come back from an older copy
 #include "core/Trace.h" // traces of requests and faults: format and generator
 #include "core/TraceRecorder.h" // records an executor's requests as a trace
 #include "core/UpstreamCondition.h" // state of an upstream, with probation and ramp-up after readmission
--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -1,5 +1,7 @@
 #include "ConfigurationLedger.h"
 
+#include "StoreHistory.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -66,7 +68,8 @@
 {
     m_digest = 0;
     for (const auto& [name, record] : m_documents) {
-        uint64_t hash = XXH64(name.data(), name.size(), record.changeNumber ? record.changeNumber : record.version);
+        uint64_t number = record.changeNumber ? record.changeNumber : revisionOf(record.version);
+        uint64_t hash = XXH64(name.data(), name.size(), number);
         m_digest = XXH64(&hash, sizeof(hash), m_digest);
     }
 }
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -6,6 +6,7 @@
 #include "ConfigurationPublisher.h"
 #include "core/ConfigurationLedger.h"
 #include "core/ObjectStore.h"
+#include "core/StoreHistory.h"
 #include "Log.h"
 #include "RelayClient.h"
 #include "Task.h"
@@ -66,7 +67,9 @@
     ConfigurationReply answer(ConfigurationQuery query) const
     {
         numberChanges(query.held);
-        return m_sync.ledger().newerThan(query);
+        ConfigurationReply reply = m_sync.ledger().newerThan(query);
+        keepRevisions(reply.newer);
+        return reply;
     }
     const ConfigurationLedger& ledger() const { return m_sync.ledger(); }
     bool isReady() const { return m_sync.isReady(); }
@@ -108,6 +111,13 @@
         }));
     }
 
+    // Other nodes get the versions without their eras.
+    static void keepRevisions(std::span<ConfigurationRecord> records)
+    {
+        for (ConfigurationRecord& it : records)
+            it.version = revisionOf(it.version);
+    }
+
     void numberChanges(std::span<ConfigurationRecord> records) const
     {
         for (ConfigurationRecord& it : records)
@@ -169,15 +179,17 @@
         publish();
         m_sync.accepted(record, currentInstant());
         log(LogLevel::Info, "configuration.in_force",
-            { { "document", record.name }, { "version", record.version }, { "change", record.changeId } });
+            { { "document", record.name }, { "era", versionEraOf(record.version) },
+                { "version", revisionOf(record.version) }, { "change", record.changeId } });
         m_hooks.accepted(record);
     }
 
     void carryOut(const ReportOutdated& report)
     {
         log(LogLevel::Warning, "configuration.outdated",
-            { { "document", report.received.name }, { "version", report.received.version },
-                { "change", report.received.changeId }, { "version_in_force", report.inForce.version },
+            { { "document", report.received.name }, { "era", versionEraOf(report.received.version) },
+                { "version", revisionOf(report.received.version) }, { "change", report.received.changeId },
+                { "version_in_force", revisionOf(report.inForce.version) },
                 { "change_in_force", report.inForce.changeId } });
     }
 
--- a/src/node/ConfigurationPublisher.h
+++ b/src/node/ConfigurationPublisher.h
@@ -3,6 +3,7 @@
 
 #include "core/Configuration.h"
 #include "core/ObjectStore.h"
+#include "core/StoreHistory.h"
 
 #include <memory>
 
@@ -36,7 +37,7 @@
 
 struct PublishReport {
     PublishStatus status = PublishStatus::Failed;
-    uint64_t version = 0; // version of the document now in the store; 0: unknown
+    uint64_t version = 0; // revision of the document now in the store; 0: unknown
     std::string winner; // with LostRace and Superseded: author of the document now in the store
     std::string winnerChangeId; // with LostRace and Superseded: its change id
     Error error; // with Unknown and Failed: reason
@@ -60,7 +61,7 @@
     {
     }
 
-    // With `expected`, the write succeeds only if the document still has this version (0: does not exist). Without it,
+    // With `expected`, the write succeeds only if the document still has this revision (0: does not exist). Without it,
     // the condition is the version that start() reads. The publisher must be owned by a std::shared_ptr.
     void start(std::optional<uint64_t> expected)
     {
@@ -85,7 +86,7 @@
         if (!result && !isNotFound(result))
             return finish({ PublishStatus::Failed, 0, "", "", result.error() });
         StoredObject current = result ? result.value() : StoredObject {};
-        if (expected && *expected != current.version)
+        if (expected && *expected != revisionOf(current.version))
             return finishWithCurrent(current, PublishStatus::LostRace);
         m_versionRead = current.version;
         if (auto document = parseConfigurationObject(current.value))
@@ -103,7 +104,7 @@
     void handleWritten(const Result<uint64_t>& result)
     {
         if (result)
-            return finish({ PublishStatus::Applied, result.value(), "", "", {} });
+            return finish({ PublishStatus::Applied, revisionOf(result.value()), "", "", {} });
         Error error = result.error();
         auto hasCode = [&](ErrorCode ec) { return error.code == makeErrorCode(ec); };
         bool isConflict = hasCode(ErrorCode::Conflict);
@@ -125,7 +126,7 @@
         StoredObject current = readBack ? readBack.value() : StoredObject {};
         auto document = parseConfigurationObject(current.value);
         if (document && document.value().changeId == m_object.changeId)
-            return finish({ PublishStatus::Applied, current.version, "", "", {} });
+            return finish({ PublishStatus::Applied, revisionOf(current.version), "", "", {} });
         if (document && document.value().replaces == m_object.changeId)
             return finishWithCurrent(current, PublishStatus::Superseded);
         // The read may lag behind; a version that is not newer than the one read before does not show this write's
@@ -134,7 +135,7 @@
         if (isUnchanged && m_attempts < maxAttempts)
             return write();
         if (m_isUncertain)
-            return finish({ PublishStatus::Unknown, current.version, "", "", error });
+            return finish({ PublishStatus::Unknown, revisionOf(current.version), "", "", error });
         // The read lags behind the write that caused the conflict, so the winner is not known.
         if (current.version <= m_versionRead)
             return finish({ PublishStatus::LostRace, 0, "", "", error });
@@ -143,7 +144,7 @@
 
     void finishWithCurrent(const StoredObject& current, PublishStatus status)
     {
-        PublishReport report { status, current.version, "", "", {} };
+        PublishReport report { status, revisionOf(current.version), "", "", {} };
         if (auto document = parseConfigurationObject(current.value)) {
             report.winner = document.value().author;
             report.winnerChangeId = document.value().changeId;
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -232,11 +232,11 @@
     };
     hooks.accepted = [this](const ConfigurationRecord& record) {
         audit(AuditEventKind::ConfigurationInForce, "", record.name,
-            fmt::format("version {}, change id {}", record.version, record.changeId), record.author);
+            fmt::format("version {}, change id {}", revisionOf(record.version), record.changeId), record.author);
     };
     hooks.refused = [this](const ConfigurationRecord& record, const std::string& reason) {
         audit(AuditEventKind::ConfigurationRefused, "", record.name,
-            fmt::format("version {}: {}", record.version, reason), record.author);
+            fmt::format("version {}: {}", revisionOf(record.version), reason), record.author);
     };
     return hooks;
 }
@@ -572,7 +572,7 @@
 {
     Json documents = Json::array();
     for (const ConfigurationRecord& record : m_configuration->ledger().held())
-        documents.push_back({ { "name", record.name }, { "version", record.version } });
+        documents.push_back({ { "name", record.name }, { "version", revisionOf(record.version) } });
     Json members = Json::array();
     m_membership->forEach([&](const NodeRecord& record) { members.push_back(toStatusJson(record)); });
     Json status { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -762,7 +762,7 @@
 {
     Json documents = Json::array();
     for (const ConfigurationRecord& record : m_configuration->ledger().held())
-        documents.push_back({ { "name", record.name }, { "version", record.version } });
+        documents.push_back({ { "name", record.name }, { "version", revisionOf(record.version) } });
     Json members = Json::array();
     m_directory->forEachLive([&](const NodeRecord& record) { members.push_back(toStatusJson(record)); });
     Json status { { "node", m_settings.nodeName }, { "incarnation", toString(m_incarnation) },
--- a/src/node/StoreClient.cpp
+++ b/src/node/StoreClient.cpp
@@ -55,8 +55,11 @@
 
 // State that ends with the client.
 struct StoreClient::Shared {
-    ObjectHandle<SoupSession> session;
-    std::list<std::shared_ptr<Call>> calls;
+    const StoreDialect& dialect;
+    StoreHistory history {};
+    std::function<void(uint64_t)> onNewEra {};
+    ObjectHandle<SoupSession> session {};
+    std::list<std::shared_ptr<Call>> calls {};
 };
 
 // One HTTP exchange. Pending GLib operations hold a reference, so a call may outlive its client.
@@ -73,10 +76,13 @@
     bool isWrite = false;
     bool isStarted = false; // true once bytes of the request may have left this process
     bool isTimedOut = false;
+    bool needsSameEra = false; // the response is useless if the store has begun another era since the call
+    uint64_t eraAtSend = 0;
     std::function<void(Result<StoreHttpResponse>)> onResponse;
 
     void send(SoupSession* session);
     void readMore();
+    Result<StoreHttpResponse> checkEra(StoreHttpResponse) const;
     void fail(const GError*);
     void finish(Result<StoreHttpResponse>);
 
@@ -153,8 +159,25 @@
     response.status = soup_message_get_status(call->message.get());
     const char* etag = soup_message_headers_get_one(headers, "ETag");
     response.etag = etag ? etag : "";
+    auto owner = call->shared.lock();
+    const char* era = soup_message_headers_get_one(headers, owner->dialect.eraHeader());
+    response.era = era ? era : "";
     response.body = std::move(call->body);
-    call->finish(std::move(response));
+    call->finish(call->checkEra(std::move(response)));
+}
+
+Result<StoreHttpResponse> StoreClient::Call::checkEra(StoreHttpResponse response) const
+{
+    auto owner = shared.lock();
+    EraChange change = owner->history.record(owner->dialect.decodeEra(response.era), eraAtSend);
+    if (change == EraChange::Started && owner->onNewEra)
+        owner->onNewEra(owner->history.era());
+    if (change == EraChange::Outdated)
+        return makeError(isWrite ? ErrorCode::AnswerLost : ErrorCode::Unavailable, "response of an earlier era");
+    bool hasOvertaken = eraAtSend && eraAtSend != owner->history.era();
+    if (needsSameEra && hasOvertaken)
+        return makeError(ErrorCode::Unsupported, "the store has begun a new era");
+    return response;
 }
 
 void StoreClient::Call::fail(const GError* error)
@@ -189,7 +212,7 @@
     : m_url(std::move(url))
     , m_timeout(timeout)
     , m_dialect(dialect)
-    , m_shared(std::make_shared<Shared>())
+    , m_shared(std::make_shared<Shared>(Shared { dialect }))
 {
     m_shared->session.reset(soup_session_new_with_options(
         "max-conns", maxConnections, "max-conns-per-host", maxConnections, "proxy-resolver", nullptr, nullptr));
@@ -212,6 +235,10 @@
     soup_session_abort(session.get());
 }
 
+void StoreClient::onNewEra(std::function<void(uint64_t)> function) { m_shared->onNewEra = std::move(function); }
+uint64_t StoreClient::era() const { return m_shared->history.era(); }
+bool StoreClient::isCurrent(uint64_t version) const { return m_shared->history.isCurrent(version); }
+
 size_t StoreClient::pendingCalls() const { return m_shared->calls.size(); }
 
 std::shared_ptr<StoreClient::Call> StoreClient::startCall(
@@ -222,6 +249,7 @@
     call->shared = m_shared;
     call->step = std::move(step);
     call->peer = m_url;
+    call->eraAtSend = era();
     call->message.reset(soup_message_new(request.method, (m_url + request.target).c_str()));
     m_shared->calls.push_back(call);
     std::weak_ptr<Call> weak = call;
@@ -283,6 +311,7 @@
         if (!object)
             return callback(Error { errorContext.code, errorContext.step, errorContext.peer,
                 "the response is not an object with a version" });
+        object->version = m_shared->history.versionOf(object->version);
         callback(std::move(*object));
     };
 }
@@ -292,22 +321,18 @@
 {
     ++m_callCounts[std::string(kind)].writes;
     StoreVerb verb = version ? StoreVerb::Replace : StoreVerb::Create;
-    StoreCall parameters = makeStoreCall(verb, kind, name, version);
-    parameters.value = value;
+    StoreCall parameters = makeStoreCall(verb, kind, name, revisionOf(version));
     bool isTooLarge = value.size() > maxStoreValueBytes;
-    if (isTooLarge)
-        parameters.value = {};
+    if (!isTooLarge)
+        parameters.value = value;
     auto call = startCall(parameters, "store.put", m_timeout);
     call->isWrite = true;
     Error errorContext = call->makeError(ErrorCode::AnswerLost);
-    if (isTooLarge) {
-        // The cancelled call fails from the main loop, so that the callback does not run from within put().
-        g_cancellable_cancel(call->cancellable.get());
-        call->onResponse = [errorContext, callback = std::move(callback)](const Result<StoreHttpResponse>&) {
-            callback(Error { ErrorCode::TooLarge, errorContext.step, errorContext.peer, "the value exceeds 1 MB" });
-        };
-        return;
-    }
+    if (isTooLarge)
+        return failUnsent(call, call->makeError(ErrorCode::TooLarge, "the value exceeds 1 MB"), std::move(callback));
+    if (version && !isCurrent(version))
+        return failUnsent(
+            call, call->makeError(ErrorCode::Conflict, "the version is of an earlier era"), std::move(callback));
     soup_message_add_flags(call->message.get(), SOUP_MESSAGE_NEW_CONNECTION);
     call->onResponse = [this, errorContext, verb, callback = std::move(callback)](
                            const Result<StoreHttpResponse>& result) {
@@ -323,15 +348,24 @@
         if (!written)
             return callback(
                 Error { errorContext.code, errorContext.step, errorContext.peer, "no version in the response" });
-        callback(*written);
+        callback(m_shared->history.versionOf(*written));
     };
 }
 
+void StoreClient::failUnsent(const std::shared_ptr<Call>& call, const Error& error, Callback<uint64_t> callback)
+{
+    g_cancellable_cancel(call->cancellable.get());
+    call->onResponse = [error, callback = std::move(callback)](const Result<StoreHttpResponse>&) { callback(error); };
+}
+
 void StoreClient::remove(std::string_view kind, std::string_view name, uint64_t version, Callback<uint64_t> callback)
 {
     ++m_callCounts[std::string(kind)].writes;
-    auto call = startCall(makeStoreCall(StoreVerb::Remove, kind, name, version), "store.remove", m_timeout);
+    auto call = startCall(makeStoreCall(StoreVerb::Remove, kind, name, revisionOf(version)), "store.remove", m_timeout);
     call->isWrite = true;
+    if (!isCurrent(version))
+        return failUnsent(
+            call, call->makeError(ErrorCode::Conflict, "the version is of an earlier era"), std::move(callback));
     soup_message_add_flags(call->message.get(), SOUP_MESSAGE_NEW_CONNECTION);
     Error errorContext = call->makeError(ErrorCode::AnswerLost);
     call->onResponse
@@ -341,7 +375,8 @@
               const StoreHttpResponse& response = result.value();
               if (auto ec = m_dialect.errorOf(StoreVerb::Remove, response.status))
                   return callback(Error { *ec, errorContext.step, errorContext.peer, describeStatus(response.status) });
-              callback(m_dialect.decodeVersion(response).value_or(version));
+              auto removed = m_dialect.decodeVersion(response);
+              callback(removed ? m_shared->history.versionOf(*removed) : version);
           };
 }
 
@@ -359,8 +394,10 @@
     parameters.after = after;
     auto call = startCall(parameters, "store.list", m_timeout);
     call->maxBodyBytes = maxListBytes;
+    bool isFirstPage = after.empty();
+    call->needsSameEra = !isFirstPage;
     Error errorContext = call->makeError(ErrorCode::Malformed);
-    call->onResponse = [this, errorContext, kind, previousObjects = std::move(previousObjects),
+    call->onResponse = [this, errorContext, kind, isFirstPage, previousObjects = std::move(previousObjects),
                            callback = std::move(callback)](Result<StoreHttpResponse> result) mutable {
         if (!result)
             return callback(result.error());
@@ -371,10 +408,16 @@
         if (!page)
             return callback(Error {
                 errorContext.code, errorContext.step, errorContext.peer, "the response is not a list of objects" });
+        for (StoredObject& it : page->objects)
+            it.version = m_shared->history.versionOf(it.version);
+        bool isOvertaken = !previousObjects.empty() && !isCurrent(previousObjects.front().version);
+        if (!isFirstPage && isOvertaken)
+            return callback(Error { ErrorCode::Unavailable, errorContext.step, errorContext.peer,
+                "the store has begun a new era between two pages" });
         std::ranges::move(page->objects, std::back_inserter(previousObjects));
         if (page->hasMore && !page->objects.empty())
             return listFrom(kind, previousObjects.back().name, std::move(previousObjects), std::move(callback));
-        m_revisions[kind] = std::max(m_revisions[kind], page->revision);
+        m_shared->history.advance(kind, page->revision);
         callback(std::move(previousObjects));
     };
 }
@@ -386,11 +429,12 @@
     maxWait = std::max<Duration>(1s, std::chrono::duration_cast<std::chrono::seconds>(maxWait));
     // The store keeps only a short history, in which the version of the object may already be missing. So the watch
     // starts from the newest revision seen.
-    uint64_t since = std::max(version, m_revisions[std::string(kind)]);
+    uint64_t since = std::max(isCurrent(version) ? revisionOf(version) : 0, m_shared->history.position(kind));
     // The call times out if the store does not end the watch in time.
     StoreCall parameters = makeStoreCall(StoreVerb::Watch, kind, name, since);
     parameters.maxWait = maxWait;
     auto call = startCall(parameters, "store.watch", maxWait + m_timeout);
+    call->needsSameEra = true;
     Error errorContext = call->makeError(ErrorCode::Malformed);
     call->onResponse = [this, errorContext, kind = std::string(kind), name = std::string(name), version,
                            callback = std::move(callback)](Result<StoreHttpResponse> result) {
@@ -403,12 +447,13 @@
         if (!page)
             return callback(Error {
                 errorContext.code, errorContext.step, errorContext.peer, "the response is not a list of changes" });
-        m_revisions[kind] = std::max(m_revisions[kind], page->revision);
+        m_shared->history.advance(kind, page->revision);
         // Only the last change of the object matters.
         auto it = std::ranges::find(page->objects.rbegin(), page->objects.rend(), name, &StoredObject::name);
         if (it == page->objects.rend())
             return callback(
                 Error { ErrorCode::Timeout, errorContext.step, errorContext.peer, "the object did not change" });
+        it->version = m_shared->history.versionOf(it->version);
         if (it->version <= version)
             return callback(Error { errorContext.code, errorContext.step, errorContext.peer,
                 "the response is not newer than the watched version" });
--- a/src/node/StoreClient.h
+++ b/src/node/StoreClient.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/ObjectStore.h"
+#include "core/StoreHistory.h"
 #include "GlibHandles.h"
 #include "StoreDialect.h"
 
@@ -26,6 +27,11 @@
 // A connection failure or timeout of a write is reported as Unavailable only if no byte of the request can have left
 // this process; otherwise as AnswerLost or Timeout, since the write may have taken effect. Each write uses a new
 // connection, because libsoup silently repeats an idempotent HTTP method if a kept-alive connection closes.
+//
+// The store may come back from an older copy and begin a new era. Versions contain the era: a write whose condition is
+// a version of an earlier era fails with Conflict, without a call. A response that is late and names an earlier era
+// fails: reads with Unavailable, writes with AnswerLost. A watch that a new era overtakes fails with Unsupported, as
+// one whose history is gone; a list, with Unavailable.
 class StoreClient {
 public:
     // `timeout` limits each call; a watch may take its own maximum wait in addition.
@@ -45,6 +51,11 @@
     void watch(
         std::string_view kind, std::string_view name, uint64_t version, Duration maxWait, Callback<StoredObject>);
 
+    // Called when the store has begun a new era, before the response that shows it is passed on.
+    void onNewEra(std::function<void(uint64_t era)>);
+    uint64_t era() const; // 0: the store has not named one
+    bool isCurrent(uint64_t version) const; // whether the version is of the store's present era
+
     const std::map<std::string, StoreCallCounts>& callCounts() const { return m_callCounts; }
     size_t pendingCalls() const;
 
@@ -57,11 +68,12 @@
     // Requests the page that follows the name `after` and appends it to the objects of the previous pages.
     void listFrom(const std::string& kind, const std::string& after, std::vector<StoredObject>&& previousObjects,
         Callback<std::vector<StoredObject>>);
+    // Fails the call from the main loop, without sending it.
+    static void failUnsent(const std::shared_ptr<Call>&, const Error&, Callback<uint64_t>);
 
     std::string m_url;
     Duration m_timeout;
     const StoreDialect& m_dialect;
-    std::map<std::string, uint64_t> m_revisions; // newest store revision seen in lists and watches, by kind
     std::shared_ptr<Shared> m_shared; // calls hold a weak reference, which tells them that the client is destroyed
     std::map<std::string, StoreCallCounts> m_callCounts;
 };
--- a/src/node/StoreDialect.cpp
+++ b/src/node/StoreDialect.cpp
@@ -102,6 +102,9 @@
         return request;
     }
 
+    const char* eraHeader() const override { return "History-Era"; }
+    std::optional<uint64_t> decodeEra(std::string_view header) const override { return parseEra(header); }
+
     std::optional<ErrorCode> errorOf(StoreVerb verb, uint32_t status) const override
     {
         bool isWrite = verb == StoreVerb::Create || verb == StoreVerb::Replace || verb == StoreVerb::Remove;
@@ -153,6 +156,13 @@
     return dialect;
 }
 
+std::optional<uint64_t> parseEra(std::string_view text)
+{
+    uint64_t era = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), era);
+    return ec == std::errc() && end == text.data() + text.size() ? std::optional(era) : std::nullopt;
+}
+
 std::string escapePathSegment(std::string_view text)
 {
     std::unique_ptr<char, decltype(&g_free)> escaped(
--- a/src/node/StoreDialect.h
+++ b/src/node/StoreDialect.h
@@ -30,6 +30,7 @@
     uint32_t status = 0;
     std::string etag; // value of the ETag header; empty if there is none
     std::string body;
+    std::string era {}; // value of the header that StoreDialect::eraHeader() names; empty if there is none
 };
 
 // One page of a list, or the changes that a watch returned.
@@ -44,9 +45,11 @@
 public:
     virtual ~StoreDialect() = default;
     virtual StoreHttpRequest encode(const StoreCall&) const = 0;
+    virtual const char* eraHeader() const = 0; // of a response, names the era of the store
+    virtual std::optional<uint64_t> decodeEra(std::string_view header) const = 0; // empty if it is malformed
     // Maps an HTTP status to an error; empty on success. A watch that ends without a change is a Timeout.
     virtual std::optional<ErrorCode> errorOf(StoreVerb, uint32_t status) const = 0;
-    // Decode a successful response; empty if it is malformed.
+    // Decode a successful response; empty if it is malformed. Versions are revisions of the store's era.
     virtual std::optional<StoredObject> decodeObject(const StoreCall&, StoreHttpResponse&&) const = 0; // for Get
     virtual std::optional<uint64_t> decodeVersion(const StoreHttpResponse&) const = 0; // for writes
     virtual std::optional<StorePage> decodePage(const StoreCall&, StoreHttpResponse&&) const = 0; // for List and Watch
@@ -55,6 +58,9 @@
 // API of the store in this project's own deployments: one resource per object, with the version as its ETag.
 const StoreDialect& nativeStoreDialect();
 
+// Parses a decimal number without a sign; empty for any other text.
+std::optional<uint64_t> parseEra(std::string_view text);
+
 // Percent-encodes `text` for a URL path. A slash is not escaped.
 std::string escapePathSegment(std::string_view text);
 
--- a/tests/PlatformAdapterTests.cpp
+++ b/tests/PlatformAdapterTests.cpp
@@ -144,14 +144,18 @@
     BOOST_TEST(page->objects[0].version == 531U);
     BOOST_TEST(page->objects[0].value == R"({"v":1})");
     BOOST_TEST(!store.decodePage(watch, { 200, "", "no JSON" }));
+    BOOST_TEST((store.eraHeader() == std::string_view("Store-Era")));
+    BOOST_TEST(store.decodeEra("7").value_or(0) == 7U);
+    for (std::string_view odd : { "", "-1", "7 ", "seven", "1.5", "99999999999999999999" })
+        BOOST_TEST(!store.decodeEra(odd), odd);
 }
 
 // Guards against platform names in src, which would have to change with every change of the platform.
 BOOST_AUTO_TEST_CASE(namesOfThePlatformStayInTheAdapter)
 {
     const std::vector<std::string> names { "Attempt-Id", "Deadline-Ms\"", "Expected-Instance\"", "Server-Load",
-        "Not-Executed", "Response-Signature", "Instances.Heartbeat", "store_revision", "weighted_split", "app_addr",
-        "cold_left", "seq_no", "beat_addr", "path_prefix" };
+        "Not-Executed", "Response-Signature", "Instances.Heartbeat", "Store-Era", "store_revision", "weighted_split",
+        "app_addr", "cold_left", "seq_no", "beat_addr", "path_prefix" };
     size_t files = 0;
     for (const auto& entry : std::filesystem::recursive_directory_iterator(std::string(GM_SOURCE_DIR) + "/src")) {
         if (!entry.is_regular_file())
--- a/tests/StoreClientProcessTests.cpp
+++ b/tests/StoreClientProcessTests.cpp
@@ -311,4 +311,57 @@
     checkError(put(client, "banco", "1", 0), ErrorCode::Invalid);
 }
 
+// Guards against a watch that skips changes because the restored store gave its position out again.
+BOOST_AUTO_TEST_CASE(watchFromAnEarlierEraEnds)
+{
+    StoreClient client = makeClient();
+    auto written = put(client, "sello", "1", 0);
+    BOOST_REQUIRE(written);
+    run([this] { standIn->restore(1h); });
+    Reply<StoredObject> watched;
+    client.watch("roster", "sello", written.value(), 1s, watched.callback());
+    checkError(watched.wait(), ErrorCode::Unsupported);
+    BOOST_TEST(client.era() == 2U);
+    auto again = put(client, "sello", "2", 0);
+    BOOST_REQUIRE(again);
+    BOOST_TEST(again.value() > written.value());
+}
+
+// Guards against a conditional write that overwrites what it has not seen, because its revision was given out again.
+BOOST_AUTO_TEST_CASE(conditionOfAnEarlierEraConflicts)
+{
+    StoreClient client = makeClient();
+    StoreClient other = makeClient();
+    auto written = put(client, "sello", "1", 0);
+    BOOST_REQUIRE(written);
+    run([this] { standIn->restore(1h); });
+    BOOST_REQUIRE(put(other, "sello", "2", 0));
+    BOOST_TEST(get(client, "sello").value().value == "2"); // has the revision of the lost write
+    checkError(put(client, "sello", "3", written.value()), ErrorCode::Conflict);
+    Reply<uint64_t> removed;
+    client.remove("roster", "sello", written.value(), removed.callback());
+    checkError(removed.wait(), ErrorCode::Conflict);
+    BOOST_TEST(get(client, "sello").value().value == "2");
+}
+
+// Guards against a late response that shows what the store has lost since.
+BOOST_AUTO_TEST_CASE(lateResponseOfAnEarlierEraFails)
+{
+    StoreClient client = makeClient();
+    BOOST_REQUIRE(put(client, "sello", "1", 0));
+    StoreStandIn::Faults slow;
+    slow.delayMs = 400;
+    setFaults(slow);
+    Reply<StoredObject> late;
+    client.get("roster", "sello", late.callback());
+    runUntil([&] { return count("get") == 1; });
+    setFaults({});
+    run([this] { standIn->restoreKeepingAnswers(1h); });
+    uint64_t newEra = 0;
+    client.onNewEra([&](uint64_t era) { newEra = era; });
+    checkError(get(client, "sello"), ErrorCode::NotFound);
+    BOOST_TEST(newEra == 2U);
+    checkError(late.wait(), ErrorCode::Unavailable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/StoreStandIn.h
+++ b/tests/StoreStandIn.h
@@ -2,7 +2,11 @@
 //
 // Objects:  GET/PUT/DELETE /objects/<kind>/<name>, GET /objects/<kind>/,
 //           GET /objects/<kind>/<name>?watch=<version>&timeout=<s> (304 when nothing changed)
-// Admin (on a port of its own): POST /faults with any of the fields of Faults, GET /counts
+// Admin (on a port of its own): POST /faults with any of the fields of Faults, POST /restore with {"ageMs": N}, GET
+// /counts
+//
+// Each response names the era of the store in the header History-Era. A restoration replaces the objects and the
+// version counter by those of a copy of that age and raises the era by one.
 //
 // A list is {"objects": [{"name", "version", "value"}]} with the JSON values themselves.
 #pragma once
@@ -10,6 +14,8 @@
 #include "GlibHandles.h"
 
 #include <algorithm>
+#include <chrono>
+#include <deque>
 #include <fmt/format.h>
 #include <libsoup/soup.h>
 #include <list>
@@ -57,6 +63,26 @@
         return it == m_counts.end() ? 0 : it->second;
     }
 
+    void restore(std::chrono::milliseconds age)
+    {
+        while (!m_held.empty()) {
+            cut(m_held.front().message.get());
+            release(m_held.begin());
+        }
+        restoreKeepingAnswers(age);
+    }
+
+    // Answers that are held back still go out, and name the era in which they were made.
+    void restoreKeepingAnswers(std::chrono::milliseconds age)
+    {
+        auto copiedBefore = std::chrono::steady_clock::now() - age;
+        while (m_copies.size() > 1 && m_copies.back().at > copiedBefore)
+            m_copies.pop_back();
+        m_objects = m_copies.back().objects;
+        m_lastVersion = m_copies.back().lastVersion;
+        ++m_era;
+    }
+
     void setFaults(const Faults& faults)
     {
         bool wasOpen = m_faults.down != "refuse";
@@ -79,6 +105,13 @@
         Object previous;
     };
 
+    // The objects after a write.
+    struct Copy {
+        std::chrono::steady_clock::time_point at {};
+        std::map<std::string, Entry> objects {};
+        uint64_t lastVersion = 0;
+    };
+
     // An answer that is held back: a watch, a delayed answer or one that never comes.
     struct Held {
         ObjectHandle<SoupServerMessage> message;
@@ -209,7 +242,10 @@
     static void handleObject(
         SoupServer*, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self)
     {
-        static_cast<StoreStandIn*>(self)->serve(message, path, query);
+        auto* standIn = static_cast<StoreStandIn*>(self);
+        soup_message_headers_replace(
+            soup_server_message_get_response_headers(message), "History-Era", std::to_string(standIn->m_era).c_str());
+        standIn->serve(message, path, query);
     }
 
     void serve(SoupServerMessage* message, const std::string& path, GHashTable* query)
@@ -322,12 +358,21 @@
             answerObject(message, version ? SOUP_STATUS_OK : SOUP_STATUS_CREATED, entry.current, false);
             notifyWatches(key, entry.current);
         }
+        keepCopy();
         if (m_faults.loseAnswers > 0) {
             --m_faults.loseAnswers;
             cut(message);
         }
     }
 
+    void keepCopy()
+    {
+        constexpr size_t maxCopies = 500;
+        m_copies.push_back({ std::chrono::steady_clock::now(), m_objects, m_lastVersion });
+        if (m_copies.size() > maxCopies)
+            m_copies.pop_front();
+    }
+
     // -------- admin
 
     static void handleAdmin(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
@@ -340,6 +385,11 @@
         SoupMessageBody* body = soup_server_message_get_request_body(message);
         auto request
             = nlohmann::json::parse(std::string(body->data, static_cast<size_t>(body->length)), nullptr, false);
+        if (std::string_view(path) == "/restore" && request.is_object()) {
+            standIn->restore(std::chrono::milliseconds(request.value("ageMs", 0)));
+            answer(message, SOUP_STATUS_OK, "{}");
+            return;
+        }
         if (std::string_view(path) != "/faults" || !request.is_object()) {
             answer(message, SOUP_STATUS_BAD_REQUEST);
             return;
@@ -361,6 +411,8 @@
     Faults m_faults;
     std::map<std::string, Entry> m_objects; // by "<kind>/<name>"
     uint64_t m_lastVersion = 0;
+    uint64_t m_era = 1;
+    std::deque<Copy> m_copies { Copy {} };
     std::map<std::string, uint64_t> m_counts; // calls by kind
     std::list<Held> m_held;
 };
