Repair the node records after the store came back from an older copy

A node that starts after a restoration reads a list without the nodes that registered since the copy, and with those that left.

Cause: a node writes its record once and never compares it with the store again; its removal was conditional on a revision of an earlier history.

Change: when a watcher has seen a new era, it lists its region, writes the records of live nodes that are missing or of an earlier process, and removes those of departed nodes; at most 40 changes a second and watcher. Nodes that it did not know become known to it. A removal whose version is of an earlier era reads the record first. The plan is a function of the core.

--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -39,6 +39,7 @@
 #include "core/ClaimLedger.h" // claims of idempotency keys in the store
 #include "core/Configuration.h" // services, routes, policies
 #include "core/ConfigurationLedger.h" // configuration documents in force and their propagation
+#include "core/DirectoryRepair.h" // node records in the store after it came back from an older copy
 #include "core/Ejection.h" // ejection of upstreams that keeps a floor of capacity
 #include "core/FifoAdmission.h" // first-in first-out queue, baseline for comparison with AdmissionQueue
 #include "core/Health.h" // samples, summaries and verdicts about the health of an upstream
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -21,6 +21,9 @@
 // Delay of the first region read after start, so that nodes that start together are all in the first list.
 constexpr Duration registrationGracePeriod = 600ms;
 constexpr Duration storeRetryPeriod = 1s;
+constexpr Duration repairDelay = 1s; // after a new era was seen; by then most nodes have left the role of watcher again
+constexpr Duration secondRepairDelay = 2500ms; // of a watcher that another one precedes, and that finds little to do
+constexpr size_t maxRepairChanges = 40; // in one second; two watchers of each region share the store's write rate
 constexpr Duration watchBackoff = 5s; // a watcher whose store call failed pauses this long while others watch
 constexpr Duration storeFallbackDelay = 2500ms; // a node without configuration from peers then reads the store
 constexpr Duration peerTimeout = 1s; // for the reply to a notice
@@ -106,6 +109,12 @@
     const StoreDialect& dialect = m_adapter ? m_adapter->store : nativeStoreDialect();
     m_store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout, dialect);
     RelayIdentity identity { m_settings.fleetKey, m_settings.nodeName, m_incarnation };
+    m_store->onNewEra([this](uint64_t era) {
+        log(LogLevel::Warning, "store.restored", { { "era", era } });
+        Instant now = currentInstant();
+        m_needsRepair = true;
+        m_nextRepair = now + (m_election.isFirstWatcher(*m_directory, now) ? repairDelay : secondRepairDelay);
+    });
     m_relay = std::make_unique<RelayClient>(
         m_task.context(), identity, m_settings.connectTimeout, m_settings.relayIdleTimeout);
     m_node = std::make_unique<Node>(
@@ -407,6 +416,69 @@
     });
 }
 
+// The version of the record may be of an earlier era, so it is read first.
+void DirectoryControl::removeOwnRecord()
+{
+    std::string kind = recordKind(m_settings.location.region);
+    m_store->get(kind, m_settings.nodeName, [this, kind](const Result<StoredObject>& stored) {
+        auto record = stored ? parseRecord(stored.value()) : std::nullopt;
+        if (!record || record->incarnation != m_incarnation)
+            return;
+        m_store->remove(kind, m_settings.nodeName, stored.value().version, [](const Result<uint64_t>& result) {
+            if (!result)
+                log(LogLevel::Warning, "directory.remove", result.error());
+        });
+    });
+}
+
+void DirectoryControl::repairRecords(Instant now)
+{
+    bool isDue = m_needsRepair && m_isRegionKnown && m_role == WatchRole::Watcher && now >= m_nextRepair;
+    if (!isDue || m_isStopping)
+        return;
+    m_needsRepair = false;
+    m_nextRepair = now + storeRetryPeriod;
+    m_store->list(recordKind(m_settings.location.region), [this](const Result<std::vector<StoredObject>>& result) {
+        if (!result) {
+            m_needsRepair = true;
+            return log(
+                LogLevel::Warning, "directory.read", result.error(), { { "region", m_settings.location.region } });
+        }
+        std::vector<ListedRecord> listed;
+        bool isChanged = false;
+        for (const StoredObject& object : result.value()) {
+            auto record = parseRecord(object);
+            if (!record)
+                continue;
+            isChanged = m_directory->merge(*record, currentInstant()) || isChanged;
+            listed.push_back({ std::move(*record), object.version });
+        }
+        if (isChanged)
+            directoryChanged(); // with nodes that have registered since, and may have found nobody
+        DirectoryRepair repair = planRepair(*m_directory, m_settings.location.region, listed, maxRepairChanges);
+        m_needsRepair = m_needsRepair || repair.hasMore;
+        writeRepair(repair);
+    });
+}
+
+void DirectoryControl::writeRepair(const DirectoryRepair& repair)
+{
+    log(LogLevel::Info, "directory.repair",
+        { { "written", repair.writes.size() }, { "removed", repair.removals.size() }, { "more", repair.hasMore } });
+    // A conflict means that the node or another watcher has written the record meanwhile.
+    auto finish = [this](const Result<uint64_t>& result) {
+        if (result || result.error().code == ErrorCode::Conflict)
+            return;
+        log(LogLevel::Warning, "directory.repair", result.error());
+        m_needsRepair = true;
+    };
+    std::string kind = recordKind(m_settings.location.region);
+    for (const ListedRecord& it : repair.writes)
+        m_store->put(kind, it.record.name, toJson(it.record), it.version, finish);
+    for (const ListedRecord& it : repair.removals)
+        m_store->remove(kind, it.record.name, it.version, finish);
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
@@ -601,6 +673,7 @@
         registerNode();
     readOwnRegion(now);
     updateWatchRole(now);
+    repairRecords(now);
     if (m_role == WatchRole::Watcher && !m_hasRequestedOtherRegions && now >= m_nextStoreAttempt) {
         m_nextStoreAttempt = now + storeRetryPeriod;
         readOtherRegions();
@@ -702,9 +775,12 @@
     notifyRegion({ m_directory->self() });
     if (m_recordVersion)
         m_store->remove(recordKind(m_settings.location.region), m_settings.nodeName, m_recordVersion,
-            [](const Result<uint64_t>& result) {
-                if (!result)
-                    log(LogLevel::Warning, "directory.remove", result.error());
+            [this](const Result<uint64_t>& result) {
+                if (result)
+                    return;
+                log(LogLevel::Warning, "directory.remove", result.error());
+                if (result.error().code == ErrorCode::Conflict)
+                    removeOwnRecord();
             });
     m_node->stop([this] { m_task.post([this] { finishStop("every request in flight has ended"); }); });
     if (m_settings.drainTimeout > Duration {}) {
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -6,10 +6,13 @@
 // configuration. A node whose digest differs requests the records that it lacks (anti-entropy).
 //
 // Store calls per node: two at start, one at stop. Each watcher also keeps one watch open, renewed every few seconds.
+// When the store has come back from an older copy, the watchers compare its records with what they know and write those
+// that it has lost.
 #pragma once
 
 #include "AdminServer.h"
 #include "ConfigurationDriver.h"
+#include "core/DirectoryRepair.h"
 #include "core/NodeDirectory.h"
 #include "core/RetryBudget.h"
 #include "core/UpstreamRegistration.h"
@@ -65,6 +68,9 @@
     void readOwnRegion(Instant now); // does nothing if the region was already read or its next attempt is not due
     void readOtherRegions();
     void removeRecord(const std::string& region, const std::string& node);
+    void removeOwnRecord();
+    void repairRecords(Instant now); // after the store began a new era
+    void writeRepair(const DirectoryRepair&);
 
     // [SECTION] Peers
     void send(const NodeRecord& peer, DirectoryNotice);
@@ -125,6 +131,8 @@
     bool m_hasRequestedRegion = false; // a read of this region's records is pending or has succeeded
     bool m_isRegionKnown = false; // this region's records have been read
     Instant m_nextRegionRead {};
+    bool m_needsRepair = false; // the store has begun a new era since its records were last compared
+    Instant m_nextRepair {};
     bool m_hasRequestedOtherRegions = false; // reads of the other regions are pending or have succeeded
     Instant m_nextStoreAttempt {};
     Instant m_nextNotice {};
--- a/tests/DirectoryProcessTests.cpp
+++ b/tests/DirectoryProcessTests.cpp
@@ -15,7 +15,8 @@
     FleetShape shape;
     shape.fleetSettings = "discovery = \"store\"\n";
     std::vector<uint16_t> ports;
-    for (size_t i = 0; i < shape.nodes; ++i)
+    constexpr size_t maxNodes = 8;
+    for (size_t i = 0; i < maxNodes; ++i)
         ports.push_back(freePort(SOCK_STREAM));
     shape.extraSettings
         = [ports](size_t i) { return fmt::format("[listen]\nrelay = \"127.0.0.1:{}\"\n", ports.at(i)); };
@@ -52,3 +53,25 @@
     fleet.startNode(1);
     BOOST_TEST(servesReads(fleet, 1));
 }
+
+// Guards against a node that finds nobody because the restored store has lost the records of the others.
+BOOST_AUTO_TEST_CASE(nodeStartedAfterARestorationIsFoundByTheOthers)
+{
+    Fleet fleet(directoryShape());
+    fleet.restoreStore({ { "lostWrites", 1000 } }); // to a copy without any object
+    size_t late = fleet.addNode();
+    BOOST_TEST(servesReads(fleet, late));
+}
+
+// Guards against departed nodes that nodes started later take for live, because the store has their records back.
+BOOST_AUTO_TEST_CASE(recordOfANodeThatLeftIsRemovedAgain)
+{
+    Fleet fleet(directoryShape());
+    BOOST_TEST(servesReads(fleet, 2));
+    fleet.node(2).process->signal(SIGTERM);
+    BOOST_TEST(fleet.node(2).process->exitCode().value_or(-1) == 0);
+    BOOST_TEST(waitUntil([&] { return !fleet.storeHas("nodes-r/node-2"); }));
+    fleet.restoreStore({ { "lostWrites", 1 } });
+    BOOST_TEST(fleet.storeHas("nodes-r/node-2"));
+    BOOST_TEST(waitUntil([&] { return !fleet.storeHas("nodes-r/node-2"); }));
+}
--- a/tests/FleetHarness.h
+++ b/tests/FleetHarness.h
@@ -296,6 +296,15 @@
         node.relay = static_cast<uint16_t>(node.process->waitForLog("listening")["relay"]);
     }
 
+    // Starts one node more, with an upstream beside it. Returns its index.
+    size_t addNode()
+    {
+        m_nodes.emplace_back();
+        startNode(m_nodes.size() - 1);
+        startUpstream(m_nodes.size() - 1);
+        return m_nodes.size() - 1;
+    }
+
     // The upstream keeps its announcements to the admin port that its node had when it started.
     void startUpstream(size_t i)
     {
@@ -325,6 +334,19 @@
         return start(name, arguments);
     }
 
+    // Whether the store holds the object "<kind>/<name>".
+    bool storeHas(const std::string& object)
+    {
+        return callPort(m_storePort, "GET", "/objects/" + object).status == 200;
+    }
+
+    // Brings the store back from an older copy: {"ageMs": N}, or without its last writes: {"lostWrites": N}.
+    void restoreStore(const nlohmann::json& how)
+    {
+        auto response = callPort(m_storeAdmin, "POST", "/restore", {}, how.dump());
+        BOOST_REQUIRE(response.status == 200);
+    }
+
     void setStoreFaults(const nlohmann::json& faults)
     {
         auto response = callPort(m_storeAdmin, "POST", "/faults", {}, faults.dump());
--- a/tests/StoreStandIn.h
+++ b/tests/StoreStandIn.h
@@ -76,7 +76,14 @@
     void restoreKeepingAnswers(std::chrono::milliseconds age)
     {
         auto copiedBefore = std::chrono::steady_clock::now() - age;
-        while (m_copies.size() > 1 && m_copies.back().at > copiedBefore)
+        auto isLost = [&](const Copy& it) { return it.at > copiedBefore; };
+        loseWrites(static_cast<size_t>(std::count_if(m_copies.begin(), m_copies.end(), isLost)));
+    }
+
+    // Begins a new era without the last `n` writes.
+    void loseWrites(size_t n)
+    {
+        for (; n && m_copies.size() > 1; --n)
             m_copies.pop_back();
         m_objects = m_copies.back().objects;
         m_lastVersion = m_copies.back().lastVersion;
@@ -386,7 +393,10 @@
         auto request
             = nlohmann::json::parse(std::string(body->data, static_cast<size_t>(body->length)), nullptr, false);
         if (std::string_view(path) == "/restore" && request.is_object()) {
-            standIn->restore(std::chrono::milliseconds(request.value("ageMs", 0)));
+            if (request.contains("lostWrites"))
+                standIn->loseWrites(request.value("lostWrites", size_t { 0 }));
+            else
+                standIn->restore(std::chrono::milliseconds(request.value("ageMs", 0)));
             answer(message, SOUP_STATUS_OK, "{}");
             return;
         }
