Number the changes of the project's own configuration format

What callers saw: with this project's own store protocol the older copy of a configuration came into force after a restoration, and a later change only on some nodes.

Cause: the same as for the operator's documents of the platform: the order was that of the store's revisions.

Change: a change id starts with a number, the time of the change in milliseconds or one more than the number that it replaces. apply prints the id that was written. The store stand-in can come back from an older copy; the soak does it, and requires the last confirmed configuration on every node within 5 s at its end.

--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -29,7 +29,7 @@
     Result<ConfigurationObject> (*parseObject)(std::string_view json) = &parseConfigurationObject;
     FileResult<Configuration> (*parseText)(std::string_view text, std::string file) = &parseConfiguration;
     // Number that rises with each change of a document, from its change id; 0 if it has none.
-    uint64_t (*changeNumber)(std::string_view changeId) = [](std::string_view) { return uint64_t { 0 }; };
+    uint64_t (*changeNumber)(std::string_view changeId) = &changeNumberOf;
 };
 
 template <ObjectStore Store> class ConfigurationDriver {
--- a/src/node/ConfigurationPublisher.cpp
+++ b/src/node/ConfigurationPublisher.cpp
@@ -2,6 +2,7 @@
 
 #include "ConfigurationFile.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace Gooseberrymill {
@@ -43,6 +44,29 @@
     return object;
 }
 
+std::string makeChangeId(WallTime now, const Id128& uniqueId)
+{
+    return fmt::format("{}.{}", now.time_since_epoch().count(), toString(uniqueId));
+}
+
+uint64_t changeNumberOf(std::string_view changeId)
+{
+    size_t digits = changeId.find('.');
+    if (digits == std::string_view::npos)
+        return 0;
+    uint64_t number = 0;
+    auto [end, ec] = std::from_chars(changeId.data(), changeId.data() + digits, number);
+    return ec == std::errc() && end == changeId.data() + digits ? number : 0;
+}
+
+std::string raiseChangeNumber(const std::string& changeId, uint64_t replacedNumber)
+{
+    uint64_t number = changeNumberOf(changeId);
+    if (!number || number > replacedNumber)
+        return changeId;
+    return fmt::format("{}{}", replacedNumber + 1, changeId.substr(changeId.find('.')));
+}
+
 Result<Configuration> readConfiguration(const StoredObject& stored)
 {
     auto object = parseConfigurationObject(stored.value);
--- a/src/node/ConfigurationPublisher.h
+++ b/src/node/ConfigurationPublisher.h
@@ -24,6 +24,12 @@
 std::string printConfigurationObject(const ConfigurationObject&); // JSON
 Result<ConfigurationObject> parseConfigurationObject(std::string_view json);
 
+// Change ids are "<change number>.<unique id>". The number is the time of the change in milliseconds, or higher: it
+// rises with each change of a document, also after the store was restored from a copy.
+std::string makeChangeId(WallTime now, const Id128& uniqueId);
+uint64_t changeNumberOf(std::string_view changeId); // 0 for a change id of another form
+std::string raiseChangeNumber(const std::string& changeId, uint64_t replacedNumber); // above the number replaced
+
 // Reads the object's text; version, change id and author come from the object.
 Result<Configuration> readConfiguration(const StoredObject&);
 
@@ -41,6 +47,7 @@
     std::string winner; // with LostRace and Superseded: author of the document now in the store
     std::string winnerChangeId; // with LostRace and Superseded: its change id
     Error error; // with Unknown and Failed: reason
+    std::string changeId {}; // of the document that was to be published
 };
 
 // Publishes one document with a write that is conditional on the version read before. After a lost answer, the change
@@ -90,10 +97,16 @@
             return finishWithCurrent(current, PublishStatus::LostRace);
         m_versionRead = current.version;
         if (auto document = parseConfigurationObject(current.value))
-            m_object.replaces = document.value().changeId;
+            replace(document.value().changeId);
         write();
     }
 
+    void replace(const std::string& changeId)
+    {
+        m_object.replaces = changeId;
+        m_object.changeId = raiseChangeNumber(m_object.changeId, changeNumberOf(changeId));
+    }
+
     void write()
     {
         ++m_attempts;
@@ -152,8 +165,9 @@
         finish(report);
     }
 
-    void finish(const PublishReport& report)
+    void finish(PublishReport report)
     {
+        report.changeId = m_object.changeId;
         auto done = std::exchange(m_done, nullptr);
         if (done)
             done(report);
--- a/src/node/Verbs.cpp
+++ b/src/node/Verbs.cpp
@@ -158,7 +158,7 @@
     printErrors(configuration.errors);
     if (!configuration.value)
         return exitFailure;
-    std::string changeId = toString(randomId());
+    std::string changeId = makeChangeId(currentWallTime(), randomId());
     std::string appliedAt
         = fmt::format("{:%FT%TZ}", fmt::gmtime(std::chrono::system_clock::to_time_t(currentWallTime())));
     StoreClient store(FLAGS_store, callTimeout);
@@ -172,7 +172,7 @@
         });
     publisher->start(expected);
     runUntil(isDone);
-    return reportPublished(configuration.value->name, changeId, report);
+    return reportPublished(configuration.value->name, report.changeId, report);
 }
 
 // -------- status, audit
--- a/tests/ConfigurationProcessTests.cpp
+++ b/tests/ConfigurationProcessTests.cpp
@@ -148,3 +148,23 @@
     auto drops = watch.stop();
     BOOST_TEST(drops.empty(), drops.front());
 }
+
+// Guards against a confirmed change that nodes drop as old because the restored store gave it a lower version, and
+// against the older copy coming into force.
+BOOST_AUTO_TEST_CASE(changeAfterARestorationComesIntoForce)
+{
+    for (const char* settings : { "", "discovery = \"store\"\n" }) {
+        FleetShape shape;
+        shape.fleetSettings = settings;
+        Fleet fleet(shape);
+        for (const char* route : { "first", "second", "third" })
+            BOOST_REQUIRE(fleet.apply(shopWithRoute(route), "ana").first == 0);
+        BOOST_REQUIRE(waitUntil([&] { return isInForce(fleet, "third"); }));
+        fleet.restoreStore({ { "lostWrites", 2 } });
+        auto end = Clock::now() + 3s;
+        while (Clock::now() < end)
+            BOOST_TEST_REQUIRE(isInForce(fleet, "third"));
+        BOOST_REQUIRE(fleet.apply(shopWithRoute("fourth"), "ana").first == 0);
+        BOOST_TEST(waitUntil([&] { return isInForce(fleet, "fourth"); }, inForceLimit), "late: " << settings);
+    }
+}
--- a/tests/ConfigurationPublisherTests.cpp
+++ b/tests/ConfigurationPublisherTests.cpp
@@ -170,3 +170,25 @@
     BOOST_TEST((statusOf(first) == PublishStatus::Superseded));
     BOOST_TEST(first->report->winner == "budi");
 }
+
+// Guards against a change that nodes take for older than the one it replaces, because an operator's clock is behind.
+BOOST_AUTO_TEST_CASE(changeNumbersRiseWithEachChange)
+{
+    std::string id = makeChangeId(WallTime(5000ms), { 1, 2 });
+    BOOST_TEST(changeNumberOf(id) == 5000U);
+    BOOST_TEST(raiseChangeNumber(id, 4000) == id);
+    BOOST_TEST(changeNumberOf(raiseChangeNumber(id, 9000)) == 9001U);
+    for (std::string_view odd : { "", ".", "12", "x.y", "-1.y", "1x.y", "99999999999999999999.y" })
+        BOOST_TEST(changeNumberOf(odd) == 0U, odd);
+    BOOST_TEST(raiseChangeNumber("change-of-ana", 9000) == "change-of-ana");
+
+    MemoryStore store;
+    for (int64_t at : { 9000, 5000 }) {
+        ConfigurationObject object { text, makeChangeId(WallTime(std::chrono::milliseconds(at)), { 1, 2 }), "ana", "",
+            "" };
+        std::make_shared<ConfigurationPublisher<MemoryStore>>(store, "main", object, [](const PublishReport&) {
+        })->start(std::nullopt);
+        store.deliverAll();
+    }
+    BOOST_TEST(changeNumberOf(parseConfigurationObject(stored(store).value).value().changeId) == 9001U);
+}
--- a/tests/FaultSoakProcessTests.cpp
+++ b/tests/FaultSoakProcessTests.cpp
@@ -19,6 +19,7 @@
 constexpr size_t callerCount = 6;
 constexpr uint64_t defaultSeed = 1;
 constexpr auto defaultLength = 8s;
+constexpr auto inForceLimit = 5s; // from the confirmation of a configuration until every node has it
 constexpr auto recoveryTime = 15s; // as the platform allows after a fault
 constexpr size_t maxResidentKiB = 260 << 10; // memory of the smallest instance that is planned for
 constexpr size_t maxDescriptors = 1000;
@@ -117,6 +118,14 @@
         endDue(Clock::time_point::max());
     }
 
+    // Path that only the next configuration has; puts that configuration into the store.
+    std::string configureLast()
+    {
+        BOOST_TEST_REQUIRE(
+            waitUntil([&] { return m_fleet.apply(shopConfiguration(extraRoute(++m_versions)), "soak").first == 0; }));
+        return fmt::format("/extra-{}/a", m_versions);
+    }
+
     const std::string& history() const { return m_history; }
     const std::vector<Disturbance>& disturbances() const { return m_disturbances; }
 
@@ -126,6 +135,12 @@
         std::function<void()> action;
     };
 
+    static std::string extraRoute(int number)
+    {
+        return fmt::format(
+            "[[service.route]]\nname = \"extra-{0}\"\npath = \"/extra-{0}/*\"\nrepeatable = true\n", number);
+    }
+
     void after(uint64_t millis, std::function<void()> action)
     {
         m_endings.push_back({ Clock::now() + std::chrono::milliseconds(millis), std::move(action) });
@@ -148,7 +163,7 @@
     {
         size_t i = m_random() % m_fleet.size();
         uint64_t millis = 200 + m_random() % 1800;
-        switch (m_random() % 6) {
+        switch (m_random() % 7) {
         case 0:
             return pause(i, millis);
         case 1:
@@ -159,6 +174,8 @@
             return cutPath(i, millis);
         case 4:
             return failStore(millis);
+        case 5:
+            return restoreStore(millis);
         default:
             return configure();
         }
@@ -224,12 +241,23 @@
         after(millis, [this] { m_fleet.setStoreFaults({ { "down", "none" } }); });
     }
 
+    // The store is away for a while and comes back from a copy of up to 9 s before.
+    void restoreStore(uint64_t millis)
+    {
+        uint64_t age = m_random() % 9000;
+        note(fmt::format("store restored after {} ms from a copy {} ms old", millis, age));
+        m_fleet.setStoreFaults({ { "down", "refuse" } });
+        after(millis, [this, age] {
+            m_fleet.restoreStore({ { "ageMs", age } });
+            m_fleet.setStoreFaults({ { "down", "none" } });
+        });
+    }
+
     void configure()
     {
         note("configuration");
-        std::string route = fmt::format(
-            "[[service.route]]\nname = \"extra-{0}\"\npath = \"/extra-{0}/*\"\nrepeatable = true\n", ++m_versions);
-        m_fleet.apply(shopConfiguration(route), "soak");
+        if (m_fleet.apply(shopConfiguration(extraRoute(m_versions + 1)), "soak").first == 0)
+            ++m_versions;
     }
 
     Fleet& m_fleet;
@@ -399,6 +427,11 @@
         bool isServing = waitUntil([&] { return fleet.call(i, "GET", "/read/after").status == 200; }, recoveryTime);
         BOOST_TEST(isServing, "node " << i << " does not serve again; " << context);
     }
+    std::string lastPath = faults.configureLast();
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        bool isInForce = waitUntil([&] { return fleet.call(i, "GET", lastPath).status == 200; }, inForceLimit);
+        BOOST_TEST(isInForce, "node " << i << " does not have the last configuration; " << context);
+    }
     isStopped = true;
     for (std::thread& it : threads)
         it.join();
