Reserve the fixed ports of a test program while it runs

The ports are drawn at random and are free while their process is down, so another test program could draw one of them.

Change: a socket on another loopback address, kept until the program ends, reserves a drawn port among test programs. The harness can write an object to the store as another program does.

--- a/tests/FleetHarness.h
+++ b/tests/FleetHarness.h
@@ -334,6 +334,13 @@
         return start(name, arguments);
     }
 
+    // Writes an object as another program may do, without a condition.
+    void writeToStore(const std::string& object, std::string_view json)
+    {
+        auto response = callPort(m_storePort, "PUT", "/objects/" + object, {}, json);
+        BOOST_REQUIRE(response.status == 200 || response.status == 201);
+    }
+
     // Whether the store holds the object "<kind>/<name>".
     bool storeHas(const std::string& object)
     {
@@ -495,23 +502,39 @@
 // [SECTION] Paths that can be cut
 //-----------------------------------------------------------------------------
 
+// Binds a socket on loopback; -1 if the port is in use.
+inline int bindPort(int socketType, uint32_t host, uint16_t port)
+{
+    int descriptor = socket(AF_INET, socketType | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(host);
+    if (!bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)))
+        return descriptor;
+    close(descriptor);
+    return -1;
+}
+
 // A port that was free a moment ago, for settings that need a port before the process starts. It lies below the range
-// from which the system takes the ports of outgoing connections, so it stays free while its process is down.
+// from which the system takes the ports of outgoing connections, so it stays free while its process is down. A socket
+// on another loopback address, kept until the end of the test program, keeps other test programs from choosing it.
 inline uint16_t freePort(int socketType)
 {
+    constexpr uint32_t reservationHost = INADDR_LOOPBACK + 1;
     constexpr uint32_t first = 10'000;
     constexpr uint32_t count = 20'000;
     static std::mt19937 random { std::random_device {}() };
     for (int i = 0; i < 100; ++i) {
-        int descriptor = socket(AF_INET, socketType, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<uint16_t>(first + random() % count));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bool isBound = !bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        close(descriptor);
-        if (isBound)
-            return ntohs(address.sin_port);
+        auto port = static_cast<uint16_t>(first + random() % count);
+        int reservation = bindPort(SOCK_STREAM, reservationHost, port);
+        int descriptor = reservation < 0 ? -1 : bindPort(socketType, INADDR_LOOPBACK, port);
+        if (descriptor >= 0) {
+            close(descriptor);
+            return port;
+        }
+        if (reservation >= 0)
+            close(reservation);
     }
     BOOST_FAIL("no free port");
     return 0;
