Ignore odd entries in the store's lists without losing the others

What operators of other systems saw: an entry of another writer, nested very deeply, with a number too large or a port out of range, ended the nodes that read the list, or they stopped following it.

Cause: it could happen here. Printing a value recurses, so a deep one ended the process, whatever its kind; one number out of range, one byte that is not UTF-8 or one unpaired surrogate made the parser refuse the whole list; a duration such as 1e300s was converted out of the range of its type; a record or heartbeat with a port out of range named an address that nobody can reach.

The store stand-in passes values on as they were written.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -3,6 +3,7 @@
 #include "core/DirectorySync.h"
 #include "Log.h"
 #include "NodeRecordJson.h"
+#include "TomlSections.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
@@ -64,7 +65,7 @@
         return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
     };
     auto incarnation = parseId128(text("incarnation"));
-    if (!incarnation || text("relay").empty() || !json.contains("startedAt") || !json["startedAt"].is_number_unsigned())
+    if (!incarnation || !isAddress(text("relay")) || !json.contains("startedAt") || !json["startedAt"].is_number_unsigned())
         return std::nullopt;
     NodeRecord record;
     record.name = object.name;
--- a/src/node/StoreDialect.cpp
+++ b/src/node/StoreDialect.cpp
@@ -1,5 +1,7 @@
 #include "StoreDialect.h"
 
+#include "TolerantJson.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -134,13 +136,15 @@
             page.objects.push_back(std::move(*object));
             return page;
         }
-        auto json = nlohmann::json::parse(response.body, nullptr, false);
+        auto json = parseTolerantly(response.body);
         if (!json.is_object() || !json.contains("objects") || !json["objects"].is_array())
             return std::nullopt;
         for (const auto& item : json["objects"]) {
             if (!item.is_object() || !item.contains("name") || !item["name"].is_string() || !item.contains("version")
                 || !item["version"].is_number_unsigned() || !item.contains("value"))
                 return std::nullopt;
+            if (!isShallow(item["value"]))
+                continue; // written by another program
             page.objects.push_back({ std::string(call.kind), item["name"].get<std::string>(),
                 item["version"].get<uint64_t>(), item["value"].dump() });
         }
--- a/tests/DirectoryProcessTests.cpp
+++ b/tests/DirectoryProcessTests.cpp
@@ -75,3 +75,31 @@
     BOOST_TEST(fleet.storeHas("nodes-r/node-2"));
     BOOST_TEST(waitUntil([&] { return !fleet.storeHas("nodes-r/node-2"); }));
 }
+
+// Guards against an odd entry of another writer that ends the nodes reading the list, or hides the others from them.
+BOOST_AUTO_TEST_CASE(oddEntriesInTheStoreHarmNoNode)
+{
+    Fleet fleet(directoryShape());
+    constexpr size_t depth = 300'000;
+    std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    std::string odd = R"({"incarnation":"00c79d25-b954-14b2-8b19-7fa8353dd236","startedAt":1,"region":"r",)"
+                      R"("dataCentre":"d-0","relay":"127.0.0.1:99999"})";
+    for (const char* kind : { "nodes-r", "configuration" }) {
+        fleet.writeToStore(fmt::format("{}/0-nested", kind), nested);
+        fleet.writeToStore(fmt::format("{}/zz-odd", kind), odd);
+    }
+    fleet.node(1).process->signal(SIGKILL);
+    fleet.node(1).process->exitCode();
+    fleet.node(1).upstream.reset();
+    fleet.startNode(1);
+    size_t late = fleet.addNode();
+    for (size_t i : { size_t { 0 }, size_t { 1 }, size_t { 2 }, late })
+        BOOST_TEST(servesReads(fleet, i));
+    std::string changed
+        = shopConfiguration("[[service.route]]\nname = \"late\"\npath = \"/late/*\"\nrepeatable = true\n");
+    BOOST_TEST(fleet.apply(changed, "ana").first == 0);
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        BOOST_TEST(waitUntil([&] { return fleet.call(i, "GET", "/late/a").status == 200; }));
+        BOOST_TEST(fleet.node(i).process->isRunning());
+    }
+}
--- a/tests/StoreStandIn.h
+++ b/tests/StoreStandIn.h
@@ -303,13 +303,13 @@
     void list(SoupServerMessage* message, const std::string& prefix)
     {
         ++m_counts["list"];
-        nlohmann::json objects = nlohmann::json::array();
+        std::string objects;
         for (auto it = m_objects.lower_bound(prefix); it != m_objects.end() && it->first.starts_with(prefix); ++it) {
             const Object& object = visible(it->second);
-            objects.push_back({ { "name", it->first.substr(prefix.size()) }, { "version", object.version },
-                { "value", nlohmann::json::parse(object.value) } });
+            objects += fmt::format(R"({}{{"name":{},"value":{},"version":{}}})", objects.empty() ? "" : ",",
+                nlohmann::json(it->first.substr(prefix.size())).dump(), object.value, object.version);
         }
-        answer(message, SOUP_STATUS_OK, nlohmann::json { { "objects", objects } }.dump());
+        answer(message, SOUP_STATUS_OK, fmt::format(R"({{"objects":[{}]}})", objects));
     }
 
     void watch(SoupServerMessage* message, const std::string& key, uint64_t version, unsigned long seconds)
