Answer every caller before the end of a shutdown, and take nothing late

What operators of other systems saw: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them some that must not be repeated.

Cause: it could happen here, for a request whose body came late and for one that took longer than the limit: the entry had no notion of when its process ends.

Change: DrainPlan in the core: with a limit, an entry takes nothing in its second half, refuses a request whose body ends then as not run, if no upstream can have received it, and 300 ms before the limit answers what is left: 504 if an upstream may have it, else 503. The executor already took nothing while draining; the entry that waits for it gets its refusal or the end of its connection and answers then.

--- a/src/Gooseberrymill.h
+++ b/src/Gooseberrymill.h
@@ -40,6 +40,7 @@
 #include "core/Configuration.h" // services, routes, policies
 #include "core/ConfigurationLedger.h" // configuration documents in force and their propagation
 #include "core/DirectoryRepair.h" // node records in the store after it came back from an older copy
+#include "core/DrainPlan.h" // requests that a process takes and answers while it shuts down
 #include "core/Ejection.h" // ejection of upstreams that keeps a floor of capacity
 #include "core/FifoAdmission.h" // first-in first-out queue, baseline for comparison with AdmissionQueue
 #include "core/Health.h" // samples, summaries and verdicts about the health of an upstream
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -181,10 +181,19 @@
         return;
     }
     self->m_bodyReceived = true;
+    if (self->isTooLateToRun())
+        self->refuseLocally(RefusalReason::Draining, "entry.drain");
     self->pumpBody();
     self->updatePause();
 }
 
+// True if this process is shutting down and may end before the request, which no upstream can have received yet.
+bool EntryExchange::isTooLateToRun() const
+{
+    bool isOpen = !m_finished && !m_respondedLocally && !m_responseHeadReceived;
+    return isOpen && !m_worker.takesRequests() && !m_dispatched && !mayHaveBeenDispatched();
+}
+
 void EntryExchange::onWroteBodyData(SoupServerMessage* /*message*/, guint size, gpointer data)
 {
     auto self = static_cast<EntryExchange*>(data)->shared_from_this();
@@ -230,9 +239,13 @@
         handleAcceptTimeout();
         return;
     }
-    if (now < m_deadline || m_responseHeadWritten)
+    bool isEnding = m_worker.m_drain && now >= m_worker.m_drain->answerBy();
+    if ((now < m_deadline && !isEnding) || m_responseHeadWritten)
         return;
-    refuseLocally(RefusalReason::DeadlineExceeded, "entry.deadline");
+    if (now >= m_deadline)
+        return refuseLocally(RefusalReason::DeadlineExceeded, "entry.deadline");
+    bool mayHaveRun = m_dispatched || (m_call && m_call->isHeadWritten() && mayHaveBeenDispatched());
+    refuseLocally(mayHaveRun ? RefusalReason::DeadlineExceeded : RefusalReason::Draining, "entry.drain");
 }
 
 //-----------------------------------------------------------------------------
@@ -842,7 +855,7 @@
         soup_message_headers_replace(headers, HeaderName::outcome, std::string(toString(outcome)).c_str());
         soup_message_headers_replace(headers, HeaderName::requestId, toString(m_requestId).c_str());
     }
-    if (m_worker.m_draining)
+    if (m_worker.m_drain)
         soup_message_headers_replace(headers, "Connection", "close");
 }
 
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -77,6 +77,7 @@
     // request. False: the timeout has passed, so the executor is presumed gone.
     bool waitForExecutor(std::function<void()> action);
     bool mayHaveBeenDispatched() const; // whether the executor can have dispatched what it was sent
+    bool isTooLateToRun() const;
     bool namesOperation() const;
     void cancelCall();
     bool hasAcceptTimedOut(Instant now) const; // it neither accepted nor answered the request
--- a/src/node/EntryServer.cpp
+++ b/src/node/EntryServer.cpp
@@ -125,6 +125,8 @@
     m_exchanges.insert(exchange);
     if (m_connections.size() > m_maxConnections)
         exchange->refuseLocally(RefusalReason::Overloaded, "entry.connections", "too many connections", 1s);
+    else if (!takesRequests())
+        exchange->refuseLocally(RefusalReason::Draining, "entry.drain");
     else
         exchange->start();
 }
@@ -185,9 +187,15 @@
     return now < m_listeningStoppedAt + gracePeriod;
 }
 
+void EntryWorker::startDraining()
+{
+    if (!m_drain)
+        m_drain.emplace(currentInstant(), m_settings.drainTimeout);
+}
+
 void EntryWorker::finishDraining(std::function<void()> done)
 {
-    m_draining = true;
+    startDraining();
     m_onDrained = std::move(done);
     // Closing a listening socket makes the kernel reset the connections in its backlog. That would hit a connection
     // that arrives between the last check of the backlog and the close, so SYN packets are dropped first. A caller
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/Balancer.h"
+#include "core/DrainPlan.h"
 #include "HttpHeaders.h"
 #include "RelayClient.h"
 #include "Settings.h"
@@ -120,8 +121,8 @@
     // Replaces the candidates of the changed services only.
     void updateCandidates(const CandidateChanges&);
 
-    // Adds "Connection: close" to each response from now on.
-    void startDraining() { m_draining = true; }
+    // Adds "Connection: close" to each response from now on, and keeps to the DrainPlan of `drainTimeout`.
+    void startDraining();
     // Accepts the connections in the listen backlog, stops listening, serves the requests of the accepted connections
     // and calls `done` when no connection is left. A connection that has sent no request yet may do so for
     // `drainGracePeriod`.
@@ -153,6 +154,7 @@
     void stopListening();
     void endDrainingIfDone();
     void remove(const std::shared_ptr<EntryExchange>&, GSocket*);
+    bool takesRequests() const { return !m_drain || m_drain->acceptsRequests(currentInstant()); }
     const Candidate* findExecutor(const std::string& service, const Id128& executor) const;
 
     Task& m_task;
@@ -169,7 +171,7 @@
     SourceHandle m_sweepSource;
     SourceHandle m_backlogSource;
     Instant m_listeningStoppedAt {}; // start of the grace periods of open connections
-    bool m_draining = false; // responses get "Connection: close"
+    std::optional<DrainPlan> m_drain; // set while draining
     bool m_listeningStopped = false; // the listeners are closed; open connections may still have requests
     std::function<void()> m_onDrained; // called once after the last connection has closed
 };
