--- a/tests/AtMostOnceProcessTests.cpp
+++ b/tests/AtMostOnceProcessTests.cpp
@@ -238,3 +238,23 @@
     }
     BOOST_TEST(fleet.runs(target) == 1U);
 }
+
+// Guards against a second run of an order whose claim the restored store has lost.
+BOOST_AUTO_TEST_CASE(keyWhoseClaimTheStoreLostRunsOnce)
+{
+    Fleet fleet;
+    std::string target = "/order/forgotten";
+    std::string key = makeKey();
+    BOOST_REQUIRE(fleet.order(0, target, key).status == 200);
+    size_t executor = fleet.waitForRun(target);
+    fleet.restoreStore({ { "lostWrites", 1000 } });
+    fleet.node(executor).process->signal(SIGKILL);
+    fleet.node(executor).process->exitCode();
+    for (size_t n = 0; n < 2; ++n) {
+        for (size_t i = 0; i < fleet.size(); ++i) {
+            if (i != executor)
+                fleet.order(i, target, key);
+        }
+    }
+    BOOST_TEST(fleet.runs(target) == 1U);
+}
