Keep the era out of queries, and out of the order of documents without a number

A document without a change number that was read from the store was newer than all that peers transmit.

Change: queries carry revisions, as replies do; documents without a number are ordered by revision alone.

Result: documentsWithoutANumberAreOrderedByRevision fails before and passes now.

--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -13,7 +13,9 @@
 
 bool isNewer(const ConfigurationRecord& a, const ConfigurationRecord& b)
 {
-    return a.changeNumber && b.changeNumber ? a.changeNumber > b.changeNumber : a.version > b.version;
+    if (a.changeNumber && b.changeNumber)
+        return a.changeNumber > b.changeNumber;
+    return revisionOf(a.version) > revisionOf(b.version); // other nodes do not transmit the era
 }
 
 bool ConfigurationLedger::updateIfNewer(const ConfigurationRecord& record)
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -100,7 +100,9 @@
         std::string address = m_hooks.relayAddress(queryPeer.peer);
         if (address.empty())
             return m_sync.peerFailed(queryPeer.peer, currentInstant());
-        m_client.query(address, queryPeer.query, guarded([this, peer = queryPeer.peer](Result<RelayMessage> result) {
+        ConfigurationQuery query = queryPeer.query;
+        keepRevisions(query.held);
+        m_client.query(address, std::move(query), guarded([this, peer = queryPeer.peer](Result<RelayMessage> result) {
             run([&](Instant now) {
                 auto* reply = result ? std::get_if<ConfigurationReply>(&result.value()) : nullptr;
                 if (!reply)
--- a/tests/ConfigurationLedgerTests.cpp
+++ b/tests/ConfigurationLedgerTests.cpp
@@ -692,3 +692,13 @@
     sync.storeAnswered(std::span(&valid, 1), now);
     BOOST_TEST(applyAll(sync, now) == 12U);
 }
+
+// Guards against a document of a peer, which transmits no era, that is always older than one read from the store.
+BOOST_AUTO_TEST_CASE(documentsWithoutANumberAreOrderedByRevision)
+{
+    ConfigurationLedger ledger;
+    BOOST_TEST(ledger.updateIfNewer(document("main", makeVersion(3, 41))));
+    BOOST_TEST(!ledger.updateIfNewer(document("main", 41)));
+    BOOST_TEST(ledger.updateIfNewer(document("main", 45)));
+    BOOST_TEST(!ledger.updateIfNewer(document("main", makeVersion(4, 44))));
+}
