Name the error of an overtaken call at the call; satisfy the linter

Cause: the second page of a list failed with the error of a watch; one line was not formatted; the linter objected to two tests.

Change: each call says with which error it fails when a new era overtakes it.

Result: format and lint of the changed files pass, and the tests of the store client.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -65,7 +65,8 @@
         return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
     };
     auto incarnation = parseId128(text("incarnation"));
-    if (!incarnation || !isAddress(text("relay")) || !json.contains("startedAt") || !json["startedAt"].is_number_unsigned())
+    if (!incarnation || !isAddress(text("relay")) || !json.contains("startedAt")
+        || !json["startedAt"].is_number_unsigned())
         return std::nullopt;
     NodeRecord record;
     record.name = object.name;
--- a/src/node/StoreClient.cpp
+++ b/src/node/StoreClient.cpp
@@ -76,7 +76,7 @@
     bool isWrite = false;
     bool isStarted = false; // true once bytes of the request may have left this process
     bool isTimedOut = false;
-    bool needsSameEra = false; // the response is useless if the store has begun another era since the call
+    std::optional<ErrorCode> overtaken; // error if the store has begun another era since the call; empty: none
     uint64_t eraAtSend = 0;
     std::function<void(Result<StoreHttpResponse>)> onResponse;
 
@@ -174,9 +174,9 @@
         owner->onNewEra(owner->history.era());
     if (change == EraChange::Outdated)
         return makeError(isWrite ? ErrorCode::AnswerLost : ErrorCode::Unavailable, "response of an earlier era");
-    bool hasOvertaken = eraAtSend && eraAtSend != owner->history.era();
-    if (needsSameEra && hasOvertaken)
-        return makeError(ErrorCode::Unsupported, "the store has begun a new era");
+    bool isOvertaken = eraAtSend && eraAtSend != owner->history.era();
+    if (overtaken && isOvertaken)
+        return makeError(*overtaken, "the store has begun a new era");
     return response;
 }
 
@@ -394,10 +394,10 @@
     parameters.after = after;
     auto call = startCall(parameters, "store.list", m_timeout);
     call->maxBodyBytes = maxListBytes;
-    bool isFirstPage = after.empty();
-    call->needsSameEra = !isFirstPage;
+    if (!after.empty())
+        call->overtaken = ErrorCode::Unavailable;
     Error errorContext = call->makeError(ErrorCode::Malformed);
-    call->onResponse = [this, errorContext, kind, isFirstPage, previousObjects = std::move(previousObjects),
+    call->onResponse = [this, errorContext, kind, previousObjects = std::move(previousObjects),
                            callback = std::move(callback)](Result<StoreHttpResponse> result) mutable {
         if (!result)
             return callback(result.error());
@@ -411,7 +411,7 @@
         for (StoredObject& it : page->objects)
             it.version = m_shared->history.versionOf(it.version);
         bool isOvertaken = !previousObjects.empty() && !isCurrent(previousObjects.front().version);
-        if (!isFirstPage && isOvertaken)
+        if (isOvertaken)
             return callback(Error { ErrorCode::Unavailable, errorContext.step, errorContext.peer,
                 "the store has begun a new era between two pages" });
         std::ranges::move(page->objects, std::back_inserter(previousObjects));
@@ -434,7 +434,7 @@
     StoreCall parameters = makeStoreCall(StoreVerb::Watch, kind, name, since);
     parameters.maxWait = maxWait;
     auto call = startCall(parameters, "store.watch", maxWait + m_timeout);
-    call->needsSameEra = true;
+    call->overtaken = ErrorCode::Unsupported;
     Error errorContext = call->makeError(ErrorCode::Malformed);
     call->onResponse = [this, errorContext, kind = std::string(kind), name = std::string(name), version,
                            callback = std::move(callback)](Result<StoreHttpResponse> result) {
--- a/tests/DirectoryRepairTests.cpp
+++ b/tests/DirectoryRepairTests.cpp
@@ -24,6 +24,7 @@
 std::vector<std::string> namesOf(const std::vector<ListedRecord>& records)
 {
     std::vector<std::string> names;
+    names.reserve(records.size());
     for (const ListedRecord& it : records)
         names.push_back(fmt::format("{}@{}", it.record.name, it.version));
     return names;
