Watch a document that the restored store lacks

Cause: a watch was opened for each document that a read returned. When the restored store had none, the watchers had no watch until the next read, up to 30 s later. A node that starts then, with nothing in force, waited as long.

Change: documents in force are watched whether or not the store has them; a node with no configuration reads again after the backoff.

Evidence: documentThatTheStoreLacksIsWatched fails before and passes now; changeAfterARestorationComesIntoForce also loses all writes now and passes.

--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -218,17 +218,30 @@
         if (const ConfigurationRecord* held = m_ledger.find(it.name); held && isNewer(*held, it))
             ++m_staleReads; // from a store replica that lags behind, or a store restored from a backup
         considerStored(it);
-        if (m_role == WatchRole::Watcher && !m_watches.contains(it.name))
-            startWatch(it.name, now);
     }
+    if (m_role == WatchRole::Watcher)
+        startMissingWatches(documents, now);
     if (m_role != WatchRole::None) {
         Duration period = m_role == WatchRole::Watcher ? m_settings.readPeriod : m_settings.pollPeriod;
+        if (documents.empty() && !isReady())
+            period = std::min(period, m_settings.unavailableBackoff); // nothing to watch yet
         m_nextReadAt = now + period + jitter(m_settings.readJitter);
     }
     tryEndBootstrap(now);
     applyPendingDocuments();
 }
 
+// A document in force is also watched while the store lacks it, since a restored store gets it again later.
+void ConfigurationSync::startMissingWatches(std::span<const ConfigurationRecord> stored, Instant now)
+{
+    std::vector<ConfigurationRecord> documents = m_ledger.held();
+    documents.insert(documents.end(), stored.begin(), stored.end());
+    for (const ConfigurationRecord& it : documents) {
+        if (!m_watches.contains(it.name))
+            startWatch(it.name, now);
+    }
+}
+
 void ConfigurationSync::storeFailed(Instant now)
 {
     m_readStartedAt.reset();
--- a/src/core/ConfigurationLedger.h
+++ b/src/core/ConfigurationLedger.h
@@ -159,6 +159,7 @@
     void queryNextPeers(Instant now);
     void startRead(Instant now);
     void startWatch(const std::string& name, Instant now);
+    void startMissingWatches(std::span<const ConfigurationRecord> stored, Instant now);
     void considerStored(const ConfigurationRecord&);
     void considerDocument(const ConfigurationRecord&);
     void reportIfOutdated(const ConfigurationRecord&);
--- a/tests/ConfigurationLedgerTests.cpp
+++ b/tests/ConfigurationLedgerTests.cpp
@@ -702,3 +702,30 @@
     BOOST_TEST(ledger.updateIfNewer(document("main", 45)));
     BOOST_TEST(!ledger.updateIfNewer(document("main", makeVersion(4, 44))));
 }
+
+// Guards against a change that no watcher sees because the restored store did not have the document when it was read.
+BOOST_AUTO_TEST_CASE(documentThatTheStoreLacksIsWatched)
+{
+    ConfigurationSyncSettings settings;
+    settings.reopensWatch = true;
+    settings.readPeriod = 30s;
+    settings.bootstrapTimeout = 0s;
+    Instant now(1000s);
+    ConfigurationSync sync(settings, 1, now);
+    sync.roleChanged(WatchRole::Watcher, now);
+    ConfigurationRecord stored = numbered(12, 41);
+    sync.storeAnswered(std::span(&stored, 1), now);
+    applyAll(sync, now);
+    sync.watchAnswered("main", std::nullopt, now, WatchEnd::HistoryGone);
+    sync.storeAnswered({}, now);
+    std::vector<SyncAction> actions = sync.takeActions();
+    BOOST_TEST(
+        std::ranges::any_of(actions, [](const SyncAction& it) { return std::holds_alternative<WatchStore>(it); }));
+
+    ConfigurationSync starting(settings, 1, now);
+    starting.roleChanged(WatchRole::Watcher, now);
+    starting.storeAnswered({}, now);
+    starting.takeActions();
+    starting.tick(now + settings.unavailableBackoff + settings.readJitter);
+    BOOST_TEST(countReads(starting.takeActions()) == 1U);
+}
--- a/tests/ConfigurationProcessTests.cpp
+++ b/tests/ConfigurationProcessTests.cpp
@@ -149,10 +149,11 @@
     BOOST_TEST(drops.empty(), drops.front());
 }
 
-// Guards against a confirmed change that nodes drop as old because the restored store gave it a lower version, and
-// against the older copy coming into force.
+// Guards against a confirmed change that nodes drop as old because the restored store gave it a lower version, that
+// they do not see because the store had lost the document, and against the older copy coming into force.
 BOOST_AUTO_TEST_CASE(changeAfterARestorationComesIntoForce)
 {
+    constexpr int allWrites = 1000;
     for (const char* settings : { "", "discovery = \"store\"\n" }) {
         FleetShape shape;
         shape.fleetSettings = settings;
@@ -160,11 +161,16 @@
         for (const char* route : { "first", "second", "third" })
             BOOST_REQUIRE(fleet.apply(shopWithRoute(route), "ana").first == 0);
         BOOST_REQUIRE(waitUntil([&] { return isInForce(fleet, "third"); }));
-        fleet.restoreStore({ { "lostWrites", 2 } });
-        auto end = Clock::now() + 3s;
-        while (Clock::now() < end)
-            BOOST_TEST_REQUIRE(isInForce(fleet, "third"));
-        BOOST_REQUIRE(fleet.apply(shopWithRoute("fourth"), "ana").first == 0);
-        BOOST_TEST(waitUntil([&] { return isInForce(fleet, "fourth"); }, inForceLimit), "late: " << settings);
+        std::string before = "third";
+        for (int lostWrites : { 2, allWrites }) {
+            fleet.restoreStore({ { "lostWrites", lostWrites } });
+            auto end = Clock::now() + 3s;
+            while (Clock::now() < end)
+                BOOST_TEST_REQUIRE(isInForce(fleet, before));
+            std::string after = fmt::format("after-{}", lostWrites);
+            BOOST_REQUIRE(fleet.apply(shopWithRoute(after), "ana").first == 0);
+            BOOST_TEST(waitUntil([&] { return isInForce(fleet, after); }, inForceLimit), "late: " << after << settings);
+            before = after;
+        }
     }
 }
