Deliver what was received of a truncated response before the reset

Cause, both sides: a TCP reset discards what the other end has not received. The entry reset the caller's connection in the turn of its main loop in which the end came, before libsoup had written; the executor ended the relay connection with a reset, which discarded what it had sent. Change: the executor sends what is queued, then the end of the stream, and resets at a limit of 2 s (RelayConnection::finish); the entry waits until the caller's kernel has what was written, at most 1 s, then resets. A truncated response still ends with a reset.

--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -30,6 +30,7 @@
 // Retry-After of temporary refusals: some upstream should have recovered by then.
 constexpr uint32_t defaultRetryAfterMs = 1000;
 constexpr Duration executorDiscoveryTimeout = 1s; // membership updates reach every member within this time
+constexpr Duration truncationLimit = 1s; // a caller that has not taken a truncated response by then gets a reset
 constexpr guint firstServerError = 500;
 constexpr std::string_view tokenPath = "/.gooseberrymill/token";
 
@@ -225,6 +226,8 @@
 {
     if (m_finished || m_respondedLocally || m_responseComplete)
         return;
+    if (m_truncatedAt)
+        return truncateResponse(now);
     // libsoup does not watch the socket while the message is paused.
     if (m_paused && isCallerDisconnected()) {
         abortCaller();
@@ -677,7 +680,7 @@
         m_worker.m_balancer->abandoned(m_upstream, now);
     m_worker.m_balancer->pathResult(m_node, false, now);
     if (m_responseHeadWritten) {
-        abortCaller();
+        truncateResponse(now);
         return;
     }
     m_responseHeadReceived = false;
@@ -965,6 +968,20 @@
     ObjectHandle<GIOStream> stream(soup_server_message_steal_connection(message.get()));
 }
 
+bool EntryExchange::hasUnwrittenResponse() const
+{
+    GSocket* socket = soup_server_message_get_socket(m_message.get());
+    return m_unwrittenBytes || (socket && hasUnacknowledgedOutput(socket));
+}
+
+// A reset discards what the caller's kernel has not received yet, the head of the response included.
+void EntryExchange::truncateResponse(Instant now)
+{
+    m_truncatedAt = m_truncatedAt.value_or(now);
+    if (!hasUnwrittenResponse() || now - *m_truncatedAt >= truncationLimit)
+        abortCaller();
+}
+
 // Pauses the message while too much of the request body is unsent, and after its end until the response head is
 // written.
 void EntryExchange::updatePause()
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -90,6 +90,8 @@
     void respondJson(guint status, const std::string& body);
     void addCommonHeaders(Outcome);
     void abortCaller(); // resets the connection, so that a partial response is not taken for a complete one
+    void truncateResponse(Instant now); // resets the connection once the caller has what was received
+    bool hasUnwrittenResponse() const; // whether a reset would discard a part of the response
     void resetConnection();
     void updatePause();
     void end();
@@ -132,6 +134,7 @@
     size_t m_unwrittenBytes = 0; // response body bytes handed to libsoup and not yet written to the socket
     bool m_responseHeadReceived = false; // the current attempt got a response head
     bool m_responseHeadWritten = false; // the response to the caller has begun; no retry is possible
+    std::optional<Instant> m_truncatedAt; // when the response ended early; set until the caller's connection is reset
     bool m_responseComplete = false; // the executor's whole response was received
     bool m_respondedLocally = false; // this entry wrote a response of its own
     bool m_forwardedToHolder = false; // the request was forwarded to the claim's holder once, which is the limit
--- a/src/node/GlibCalls.cpp
+++ b/src/node/GlibCalls.cpp
@@ -1,6 +1,8 @@
 #include "GlibCalls.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Gooseberrymill {
@@ -132,6 +134,12 @@
 
 bool hasInput(GSocket* socket) { return g_socket_condition_check(socket, G_IO_IN) & G_IO_IN; }
 
+bool hasUnacknowledgedOutput(GSocket* socket)
+{
+    int bytes = 0;
+    return !g_socket_is_closed(socket) && !ioctl(g_socket_get_fd(socket), SIOCOUTQ, &bytes) && bytes > 0;
+}
+
 void closeWithReset(GSocket* socket)
 {
     linger option { 1, 0 }; // enabled with a timeout of 0 s: close() sends RST
--- a/src/node/GlibCalls.h
+++ b/src/node/GlibCalls.h
@@ -38,6 +38,9 @@
 // True when data can be read or a connection accepted without blocking.
 bool hasInput(GSocket*);
 
+// True while bytes that were written to the socket are not yet acknowledged by the peer's kernel.
+bool hasUnacknowledgedOutput(GSocket*);
+
 // Closes the connection with a TCP reset, so that the peer cannot mistake a truncated message for a complete one.
 void closeWithReset(GSocket*);
 
--- a/src/node/RelayConnection.cpp
+++ b/src/node/RelayConnection.cpp
@@ -43,7 +43,7 @@
 
 void RelayConnection::queue(const RelayMessage& message)
 {
-    if (!isOpen())
+    if (!isOpen() || m_isFinishing)
         return;
     size_t before = m_output.size();
     if (auto ec = m_codec.encode(message, m_output)) {
@@ -82,6 +82,8 @@
     }
     m_output.clear();
     m_outputOffset = 0;
+    if (m_isFinishing)
+        finishWriting();
 }
 
 bool RelayConnection::onOutput()
@@ -127,6 +129,8 @@
         fail(n ? errorFrom(error, "relay.read", m_peer) : Error { ErrorCode::Closed, "relay.read", m_peer, "" });
         return false;
     }
+    if (m_isFinishing)
+        return true;
     m_codec.feed({ buffer.data(), static_cast<size_t>(n) });
     deliverMessages();
     return isOpen() && m_inputSource.get() == g_main_current_source();
@@ -139,7 +143,7 @@
     auto self = shared_from_this();
     m_isDelivering = true;
     std::optional<RelayMessage> message;
-    while (isOpen() && !m_paused) {
+    while (isOpen() && !m_paused && !m_isFinishing) {
         if (auto ec = m_codec.next(message)) {
             fail({ ec, "relay.decode", m_peer, "" });
             break;
@@ -183,6 +187,7 @@
     m_inputSource.reset();
     m_outputSource.reset();
     m_deferredSource.reset();
+    m_finishTimer.reset();
     if (m_socket)
         g_socket_close(m_socket.get(), nullptr);
     m_socket.reset();
@@ -201,6 +206,20 @@
         g_socket_shutdown(m_socket.get(), FALSE, TRUE, nullptr);
 }
 
+void RelayConnection::finish(Duration limit)
+{
+    if (!isOpen() || std::exchange(m_isFinishing, true))
+        return;
+    m_finishTimer = callAfter(m_context, limit, [this] {
+        auto self = shared_from_this();
+        closeWithReset(m_socket.get());
+        fail({ ErrorCode::Closed, "relay.finish", m_peer, "the peer did not close" });
+        return false;
+    });
+    resumeReading();
+    flush();
+}
+
 void RelayConnection::fail(const Error& error)
 {
     if (!isOpen())
--- a/src/node/RelayConnection.h
+++ b/src/node/RelayConnection.h
@@ -40,6 +40,9 @@
     void close(); // closes the socket; no handler runs afterwards
     void reset(); // closes with a TCP reset and discards unsent output
     void finishWriting(); // shuts down the sending side; the peer sees the end after the bytes already written
+    // Sends what is queued and then the end, and ignores what arrives until the peer closes. A peer that does not close
+    // within `limit` gets a TCP reset. A reset at once would discard what the peer has not received yet.
+    void finish(Duration limit);
 
     bool isOpen() const { return m_socket != nullptr; }
     // True after the peer's Hello was received.
@@ -69,11 +72,13 @@
     SourceHandle m_inputSource;
     SourceHandle m_outputSource;
     SourceHandle m_deferredSource; // pending deferred failure or delivery
+    SourceHandle m_finishTimer; // ends finish() at its limit
     std::string m_output;
     size_t m_outputOffset = 0; // bytes of m_output that are already written
     uint64_t m_queuedBytes = 0;
     uint64_t m_writtenBytes = 0;
     bool m_paused = false;
+    bool m_isFinishing = false; // finish() was called
     bool m_isDelivering = false;
     bool m_wasAboveHighWatermark = false;
 };
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr Duration truncationLimit = 2s; // an entry that has not taken a truncated response by then gets a reset
 constexpr Duration acceptRetryDelay = 100ms; // pause after a failed accept, for example when no descriptors are left
 
 std::string addressOf(GSocket* socket)
@@ -88,7 +89,7 @@
 void RelayExchange::abort()
 {
     m_answered = true;
-    m_connection->reset();
+    m_connection->finish(truncationLimit);
     if (m_onAnswered)
         m_onAnswered();
 }
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -39,7 +39,7 @@
     void sendChunk(std::string bytes); // split into frames of at most maxChunkBytes
     void sendEnd();
     void refuse(Refusal); // sent instead of a response head
-    void abort(); // resets the connection, so that the entry sees a truncated response
+    void abort(); // ends the connection after what was sent, so that the entry sees a truncated response
 
 private:
     friend class RelayServer;
--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -257,6 +257,21 @@
     }
 }
 
+// Guards against a truncated response whose head is lost because the entry resets the caller's connection in the turn of
+// the main loop in which it has begun to write.
+BOOST_AUTO_TEST_CASE(responseCutRightAfterItsFirstPartShowsItsHead)
+{
+    constexpr size_t bufferedBytes = 64 << 10; // an entry begins to write above this size
+    TestFleet fleet;
+    for (size_t i = 0; i < 40; ++i) {
+        HttpCaller caller(fleet.port());
+        auto response = caller.request("GET", "/read/cut",
+            { { "Stand-In-Fault", "cut" }, { "Stand-In-Size", std::to_string(2 * bufferedBytes + 1000 * (i + 1)) } });
+        BOOST_TEST(response.status == 200);
+        BOOST_TEST(!response.complete);
+    }
+}
+
 // Guards against running a non-repeatable request twice: the HTTP library resends a request when a kept-alive
 // connection closes (seen with PUT and DELETE), and the entry could retry it.
 BOOST_AUTO_TEST_CASE(nonRepeatableRequestReachesUpstreamOnce)
