--- a/src/core/ConfigurationLedger.h
+++ b/src/core/ConfigurationLedger.h
@@ -140,7 +140,7 @@
     void peerAnswered(std::string_view peer, const ConfigurationReply&, Instant now);
     void peerFailed(std::string_view peer, Instant now);
     void storeAnswered(std::span<const ConfigurationRecord> documents, Instant now); // a read succeeded
-    void storeFailed(Instant now, ReadFailure = ReadFailure::Failed);
+    void storeFailed(Instant now, ReadFailure = ReadFailure::Failed); // a read returned nothing
     // A watch ended: with a changed document, or without one as `end` says.
     void watchAnswered(std::string_view name, const std::optional<ConfigurationRecord>&, Instant now,
         WatchEnd end = WatchEnd::Unchanged);
