--- a/tests/DataPathTests.cpp
+++ b/tests/DataPathTests.cpp
@@ -257,8 +257,8 @@
     }
 }
 
-// Guards against a truncated response whose head is lost because the entry resets the caller's connection in the turn of
-// the main loop in which it has begun to write.
+// Guards against a truncated response whose head is lost because the entry resets the caller's connection in the turn
+// of the main loop in which it has begun to write.
 BOOST_AUTO_TEST_CASE(responseCutRightAfterItsFirstPartShowsItsHead)
 {
     constexpr size_t bufferedBytes = 64 << 10; // an entry begins to write above this size
