--- a/review/trials/descriptors.py
+++ b/review/trials/descriptors.py
@@ -36,4 +36,4 @@
     return after - before < QUERIES // 2
 
 
-play("/tmp", case)
+play(tempfile.mkdtemp(prefix="review-record-"), case)
--- a/review/trials/early_answers.py
+++ b/review/trials/early_answers.py
@@ -113,4 +113,4 @@
     return exits == [None, None]
 
 
-play("/tmp", case)
+play(tempfile.mkdtemp(prefix="review-record-"), case)
--- a/review/trials/planned_stop.py
+++ b/review/trials/planned_stop.py
@@ -62,4 +62,4 @@
     return not cut
 
 
-play("/tmp", case)
+play(tempfile.mkdtemp(prefix="review-record-"), case)
