End requests that an upstream never answers, and show when an upstream gets nothing

Cause: a started request that may run only once was ended neither at its deadline nor when its caller left, "so that its outcome becomes known". It kept its slot, its connection and its count in the retry budget for an event that may never come. No sample and no log line of the node showed it.

Change: each request at an upstream has a latest end, giveUpAt(): the deadline, 500 ms later for a request that may run once, the timeout of its route for one that owns an operation.

--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -2,6 +2,7 @@
 
 #include "core/RetryBudget.h"
 #include "NodeRecordJson.h"
+#include "RunningMetrics.h"
 
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -124,6 +125,7 @@
 ExecutorHooks ControlPlane::executorHooks()
 {
     ExecutorHooks hooks;
+    hooks.running = m_running;
     hooks.started = [this](Task& task) { startExecutorServices(task); };
     hooks.stopped = [services = m_executorServices] {
         services->timer.reset();
@@ -609,6 +611,7 @@
         static_cast<double>(m_unresolvedOperations.size()));
     set("configuration_store_calls_count", "Calls to the store for configuration since the start.",
         static_cast<double>(m_configuration->storeCalls()));
+    setRunningMetrics(m_metrics, *m_running);
     if (m_audit) {
         set("audit_buffered_count", "Audit events not yet in the store.",
             static_cast<double>(m_audit->bufferedEvents()));
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -107,6 +107,7 @@
     std::map<std::string, std::unique_ptr<Supervisor>, std::less<>> m_supervisors; // by upstream name
     std::shared_ptr<const RouteTable> m_routes; // configuration in force; null until the first one is accepted
     std::shared_ptr<ExecutorServices> m_executorServices;
+    std::shared_ptr<RunningRequests> m_running = std::make_shared<RunningRequests>();
     std::unique_ptr<Node> m_node;
     std::unique_ptr<AdminServer> m_admin;
     std::vector<UnresolvedOperation> m_unresolvedOperations; // latest list posted by the executor, for the admin server
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -3,6 +3,7 @@
 #include "core/DirectorySync.h"
 #include "Log.h"
 #include "NodeRecordJson.h"
+#include "RunningMetrics.h"
 #include "TomlSections.h"
 
 #include <nlohmann/json.hpp>
@@ -850,3 +851,4 @@
 }
 
 } // namespace Gooseberrymill
+    setRunningMetrics(m_metrics, *m_running);
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -133,6 +133,20 @@
     applyBackpressure(upstream);
 }
 
+void ExecutorBase::recordRefusal(LocalUpstream& upstream, RefusalReason reason)
+{
+    if (reason == RefusalReason::RateLimited)
+        return;
+    if (!upstream.stall.refused(currentInstant()))
+        return;
+    ++m_hooks.running->stalls;
+    LoadReport load = upstream.queue->report();
+    log(LogLevel::Warning, "upstream.stalled",
+        { { "upstream", upstream.endpoint.name }, { "process", processOf(upstream.endpoint) },
+            { "reason", toString(reason) }, { "running", load.running }, { "queued", load.queued },
+            { "slots", upstream.endpoint.slots }, { "refused", upstream.stall.refusals() } });
+}
+
 void ExecutorBase::applyBackpressure(LocalUpstream& upstream)
 {
     UpstreamEndpoint& endpoint = upstream.endpoint;
@@ -202,6 +216,7 @@
     Instant now = currentInstant();
     while (auto expired = upstream->queue->takeRefusal(now)) {
         auto waitingJob = upstream->waiting.extract(expired->ticket);
+        recordRefusal(*upstream, expired->reason);
         if (waitingJob)
             waitingJob.mapped()->refuse(expired->reason, "executor.admission");
     }
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -7,6 +7,7 @@
 #include "core/Admission.h"
 #include "core/FailureEstimator.h"
 #include "core/Health.h"
+#include "core/StallDetector.h"
 #include "RelayServer.h"
 #include "UpstreamClient.h"
 
@@ -96,6 +97,10 @@
 struct RunningRequests {
     std::atomic<uint32_t> total { 0 };
     std::atomic<uint32_t> retries { 0 }; // those of which an earlier attempt has reached an upstream
+    std::atomic<uint64_t> unanswered {
+        0
+    }; // non-repeatable requests given up without a whole response, since the start
+    std::atomic<uint64_t> stalls { 0 }; // see StallDetector
 
     // Probability that a call which an upstream of this node makes now belongs to a retry; 0 without a running request.
     double retryShare() const
@@ -199,6 +204,7 @@
     EarlyRejection earlyRejection;
     Backpressure backpressure;
     std::optional<double> rate; // rate limit that the queue applies, requests per second
+    StallDetector stall;
 
     LoadReport report(Instant now) const
     {
@@ -246,6 +252,7 @@
     void recordSignals(LocalUpstream&, const ResponseSignals&);
     void recordNotice(LocalUpstream&, const UpstreamNotice&);
     void applyBackpressure(LocalUpstream&);
+    void recordRefusal(LocalUpstream&, RefusalReason); // by the admission queue
     void processQueue(const std::shared_ptr<LocalUpstream>&); // dispatches waiting requests, refuses expired ones
     void sweep(); // processes all queues and cancels requests past their deadline
     void remove(const std::shared_ptr<ExecutorJob>&);
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -1,6 +1,7 @@
 #include "ExecutorJob.h"
 
 #include "core/RefusalOutcome.h"
+#include "Log.h"
 #include "RequestFingerprint.h"
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 constexpr size_t maxBufferedResponseBytes = 64 << 10; // larger responses are streamed before they are complete
 constexpr size_t maxStoredResponseBytes = 1 << 20; // larger responses are not stored for duplicate requests
 constexpr uint64_t maxUnreadResponseBytes = 4 << 20; // read of a response that nobody waits for, to see it end
+constexpr Duration lateResponseTime = 500ms; // for a response that the upstream sends at its deadline to arrive
 
 // Refusal for an operation that the gate lets run after its request has ended. It reports the operation as not run, so
 // that a later request may run it.
@@ -254,8 +256,10 @@
         dispatch();
     else if (decision.verdict == AdmissionVerdict::Queued)
         m_upstream->waiting[m_ticket] = shared_from_this();
-    else
+    else {
+        m_executor.recordRefusal(*m_upstream, decision.reason);
         refuse(decision.reason, "executor.admission", decision.retryAfter);
+    }
 }
 
 void ExecutorJob::dispatch()
@@ -267,6 +271,7 @@
         return;
     }
     m_hasSlot = true;
+    m_upstream->stall.dispatched();
     countRunning(true);
     m_process = processOf(m_upstream->endpoint);
     m_dispatchedAt = currentInstant();
@@ -495,34 +500,53 @@
 {
     auto self = shared_from_this();
     m_callerGone = true;
-    // A started request that may run only once is not cancelled, so that its outcome becomes known.
-    bool mustFinish = m_call && m_call->isStarted() && !m_route->repeatable;
-    if (m_ended || mustFinish) {
+    // A started request that may run only once goes on until giveUpAt(), so that its outcome becomes known.
+    bool goesOn = isRunning() && !m_route->repeatable;
+    if (m_ended || goesOn) {
         readNext();
         return;
     }
-    bool started = m_call && m_call->isStarted();
+    bool started = isRunning();
     if (m_call)
         m_call->cancel();
     releaseSlot(SampleKind::Cancelled, false);
     refuse(RefusalReason::Cancelled, "executor.caller", {}, started);
 }
 
+// The slot stays occupied until then, since the upstream works on the request. It stops at the deadline that it was
+// told, and drops a request whose connection closes. The outcome of an operation is recorded for later requests, so
+// one with a short deadline may take as long as the operator lets requests of its route take.
+Instant ExecutorJob::giveUpAt() const
+{
+    if (!isRunning() || m_route->repeatable)
+        return m_deadline;
+    Instant end = m_ownsOperation ? std::max(m_deadline, m_dispatchedAt + m_route->deadline) : m_deadline;
+    return end + lateResponseTime;
+}
+
 void ExecutorJob::checkDeadline(Instant now)
 {
-    if (m_ended || now < m_deadline)
+    if (m_ended || now < giveUpAt())
         return;
-    bool started = m_call && m_call->isStarted();
+    bool started = isRunning();
     if (started && !m_route->repeatable)
-        return; // the outcome must still be recorded; the entry answers its caller on its own
-    if (!m_ticket && m_ownsOperation)
-        return;
+        logUnanswered(now);
     if (m_call)
         m_call->cancel();
     releaseSlot(SampleKind::Cancelled, false);
     refuse(RefusalReason::DeadlineExceeded, "executor.deadline", {}, started);
 }
 
+void ExecutorJob::logUnanswered(Instant now) const
+{
+    ++m_executor.m_hooks.running->unanswered;
+    auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_dispatchedAt);
+    log(LogLevel::Warning, "upstream.unanswered",
+        { { "upstream", m_upstream->endpoint.name }, { "process", m_process }, { "service", head().service },
+            { "route", head().route }, { "request", toString(head().requestId) }, { "status", m_response.status },
+            { "bytes", m_responseBytes }, { "elapsed_ms", elapsed.count() } });
+}
+
 void ExecutorJob::releaseSlot(std::optional<SampleKind> kind, bool completed)
 {
     Instant now = currentInstant();
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -15,7 +15,7 @@
     // `dispatched`: part of the request may have reached the upstream.
     void refuse(RefusalReason, const char* step, Duration retryAfter = {}, bool dispatched = false);
     void refuse(Refusal); // sets the outcome from `dispatched` and `reason`
-    void checkDeadline(Instant now); // cancels an expired request unless its outcome must still be known
+    void checkDeadline(Instant now); // gives up the request when its time has passed
     TicketId ticket() const { return m_ticket; }
     void detach(); // cancels the upstream call without a response; called when the executor is destroyed
 
@@ -42,6 +42,9 @@
     void countRunning(bool isStarting);
     void recordSample(SampleKind, Duration length);
     void onCancelled();
+    bool isRunning() const { return m_call && m_call->isStarted(); } // the upstream may have received the request
+    Instant giveUpAt() const; // latest end of the request, whatever the upstream does
+    void logUnanswered(Instant now) const;
     void recordSignals(); // reads what the response says about its upstream
     bool hasForeignId() const; // the response names another request
     bool lacksId() const; // the response names no request, although this one has an id
