Keep acknowledged departures of upstreams over restarts of their node

Cause: a departure was kept only for the process that the node knew, and only in its memory; Deregister's start time (born) was not read, so a late one retired the next start under the same id.

Change: a departure is kept as instance and latest start, whether or not the process is known. A node sends what it acknowledges to up to 16 peers of its region, which return it to its next incarnation (DepartureNotice, relay version 6; peers of version 5 are not sent it). Deregister is read with born.

--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -153,4 +153,26 @@
     template <class Archive> void serialize(Archive& archive) { archive(newer); }
 };
 
+// Processes of an instance that have deregistered or are draining: all that started up to a time.
+struct UpstreamDeparture {
+    std::string instance;
+    uint64_t startedUpTo = 0; // milliseconds of the processes' own clock
+    template <class Archive> void serialize(Archive& archive) { archive(instance, startedUpTo); }
+    bool operator==(const UpstreamDeparture&) const = default;
+};
+constexpr size_t maxDeparturesPerNode = 8; // in a notice and in the memory of a peer
+
+// Departures of the upstream beside a node. That node has acknowledged them and sends them to other nodes, which return
+// them when it has restarted.
+struct DepartureNotice {
+    std::string node; // beside the upstream
+    Id128 incarnation; // of that node, when it knew of the departures
+    std::vector<UpstreamDeparture> departures;
+    template <class Archive> void serialize(Archive& archive) { archive(node, incarnation, departures); }
+};
+
+struct DepartureReply {
+    template <class Archive> void serialize(Archive&) { }
+};
+
 } // namespace Gooseberrymill
--- a/src/node/AdminServer.h
+++ b/src/node/AdminServer.h
@@ -37,6 +37,7 @@
 // ones.
 struct Departure {
     std::string instance;
+    uint64_t processStartedAt = 0; // start time of the process, in milliseconds of its own clock; 0: unknown
 };
 
 // Readiness probe of this node by the platform.
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -33,6 +33,7 @@
 constexpr uint32_t failedNoticesUntilLost = 5; // minimum, besides lostNodeTimeout
 constexpr size_t peersComparedWhenIsolated = 2;
 constexpr size_t neighboursComparedAtStart = 2; // two, as one of them may have just started as well
+constexpr size_t departureCopies = 16; // peers that remember a departure; enough when most nodes of a region restart
 constexpr std::string_view recordKindPrefix = "nodes-"; // followed by the region: one object kind per region
 
 ConfigurationSyncSettings syncSettings()
@@ -200,12 +201,18 @@
     };
     hooks.upstreamLeaving = [this](const UpstreamEndpoint& endpoint) {
         m_task.post([this, instance = endpoint.instance, startedAt = endpoint.processStartedAt] {
-            // A restarted process may keep its identity.
-            bool isCurrent = m_upstream.current() && m_upstream.current()->processStartedAt == startedAt;
-            if (isCurrent && m_upstream.markDeparted(instance))
+            if (m_upstream.applyDeparture({ instance, startedAt }))
                 applyUpstream();
         });
     };
+    hooks.departures = [this](DepartureNotice&& notice, std::function<void(DepartureReply)> reply) {
+        m_task.post([this, notice = std::move(notice), reply = std::move(reply)] {
+            if (!m_directory)
+                return;
+            onDepartureNotice(notice);
+            m_node->postToExecutor([reply] { reply({}); });
+        });
+    };
     hooks.directory = [this](DirectoryNotice&& notice, std::function<void(DirectoryReply)> reply) {
         m_task.post([this, notice = std::move(notice), reply = std::move(reply)] {
             DirectoryReply answer = m_directory ? onNotice(notice) : DirectoryReply {};
@@ -634,6 +641,64 @@
     });
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Departures
+//-----------------------------------------------------------------------------
+
+// The acknowledgement of a departure must hold after a restart, and this node has no disk.
+void DirectoryControl::shareDeparture(const UpstreamDeparture& departure)
+{
+    if (m_sharedDeparture == departure)
+        return;
+    m_sharedDeparture = departure;
+    std::vector<std::string> addresses;
+    m_directory->forEachLive([&](const NodeRecord& it) {
+        if (it.location.region == m_settings.location.region && it.name != m_settings.nodeName)
+            addresses.emplace_back(it.relayAddress);
+    });
+    std::vector<std::string> chosen;
+    std::ranges::sample(addresses, std::back_inserter(chosen), departureCopies, m_random);
+    log(LogLevel::Info, "upstream.departure",
+        { { "upstream", departure.instance }, { "started_up_to", departure.startedUpTo },
+            { "copies", chosen.size() } });
+    DepartureNotice notice { m_settings.nodeName, m_incarnation, { departure } };
+    for (const std::string& address : chosen)
+        m_relay->query(
+            address, notice, [](const Result<RelayMessage>&) {}, peerTimeout);
+}
+
+void DirectoryControl::onDepartureNotice(const DepartureNotice& notice)
+{
+    if (notice.node != m_settings.nodeName)
+        return m_departures.record(notice, currentInstant());
+    for (const UpstreamDeparture& departure : notice.departures) {
+        log(LogLevel::Info, "upstream.departure_returned",
+            { { "upstream", departure.instance }, { "started_up_to", departure.startedUpTo } });
+        if (m_upstream.applyDeparture(departure))
+            applyUpstream();
+    }
+}
+
+void DirectoryControl::returnDepartures(Instant now)
+{
+    m_departures.tick(now);
+    if (m_departures.isEmpty())
+        return;
+    m_directory->forEachLive([&](const NodeRecord& peer) {
+        auto unknown = m_departures.unknownTo(peer.name, peer.incarnation);
+        if (unknown.empty() || !m_returningTo.insert(peer.name).second)
+            return;
+        m_relay->query(
+            peer.relayAddress, DepartureNotice { peer.name, peer.incarnation, std::move(unknown) },
+            [this, name = peer.name, incarnation = peer.incarnation](const Result<RelayMessage>& result) {
+                m_returningTo.erase(name);
+                if (result && std::holds_alternative<DepartureReply>(result.value()))
+                    m_departures.told(name, incarnation);
+            },
+            peerTimeout);
+    });
+}
+
 void DirectoryControl::recordFleetSize(Instant now)
 {
     m_burstShare.record(static_cast<uint32_t>(m_directory->liveCount()), now);
@@ -685,6 +750,7 @@
         = m_role == WatchRole::Watcher || m_configuration->isReady() || now - m_startedAt > storeFallbackDelay;
     if (mayReadStore)
         m_configuration->tick();
+    returnDepartures(now);
     sendNotices(now);
 }
 
@@ -727,10 +793,13 @@
 
 Result<void> DirectoryControl::onDeparture(const Departure& departure)
 {
-    if (m_upstream.markDeparted(departure.instance))
+    auto now = static_cast<uint64_t>(currentWallTime().time_since_epoch().count());
+    UpstreamDeparture left = m_upstream.departureOf(departure.instance, departure.processStartedAt, now);
+    if (m_upstream.applyDeparture(left))
         applyUpstream();
     else
         log(LogLevel::Info, "upstream.departure_unknown", { { "upstream", departure.instance } });
+    shareDeparture(left);
     return boost::outcome_v2::success();
 }
 
@@ -738,6 +807,8 @@
 void DirectoryControl::applyUpstream()
 {
     const UpstreamReport& report = *m_upstream.current();
+    if (auto departure = m_upstream.currentDeparture())
+        shareDeparture(*departure);
     m_node->setUpstream({ m_settings.nodeName, report.service, report.address, report.slots, report.state,
         report.instance, report.processStartedAt });
     UpstreamRecord record { m_settings.nodeName, report.service, report.slots, report.state, 0, 1 };
@@ -833,6 +904,7 @@
     set("store_watching_count", "1 while this node watches the store.", m_role == WatchRole::Watcher ? 1 : 0);
     set("relay_dropped_count", "Relay connections closed because of invalid input.",
         static_cast<double>(m_node->relayDropCount()));
+    setRunningMetrics(m_metrics, *m_running);
     set("log_lines_dropped_count", "Log lines dropped since the start.", static_cast<double>(droppedLogLines()));
     return m_metrics.print();
 }
@@ -851,4 +923,3 @@
 }
 
 } // namespace Gooseberrymill
-    setRunningMetrics(m_metrics, *m_running);
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -12,6 +12,7 @@
 
 #include "AdminServer.h"
 #include "ConfigurationDriver.h"
+#include "core/DepartureBook.h"
 #include "core/DirectoryRepair.h"
 #include "core/NodeDirectory.h"
 #include "core/RetryBudget.h"
@@ -82,6 +83,9 @@
     void onReply(const std::string& peer, const Result<RelayMessage>&);
     DirectoryReply onNotice(const DirectoryNotice&);
     void directoryChanged(); // passes the new candidates and peers to the data plane
+    void shareDeparture(const UpstreamDeparture&); // with the peers that return it after a restart of this node
+    void onDepartureNotice(const DepartureNotice&);
+    void returnDepartures(Instant now); // to peers that have restarted
     void recordFleetSize(Instant now);
     void recordNoticeFailure(const std::string& peer); // declares the peer lost after enough failures
     void sendNotices(Instant now);
@@ -117,6 +121,9 @@
     WatchElection m_election;
     std::unique_ptr<ConfigurationDriver<StoreClient>> m_configuration;
     UpstreamRegistration m_upstream;
+    std::optional<UpstreamDeparture> m_sharedDeparture; // the latest one
+    DepartureBook m_departures; // of the peers' upstreams
+    std::set<std::string, std::less<>> m_returningTo; // peers whose reply to returned departures is pending
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
     uint16_t m_adminPort = 0;
     std::atomic<uint64_t> m_configurationDigest { 0 }; // digest of the configuration; read by the entry workers
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -97,9 +97,7 @@
 struct RunningRequests {
     std::atomic<uint32_t> total { 0 };
     std::atomic<uint32_t> retries { 0 }; // those of which an earlier attempt has reached an upstream
-    std::atomic<uint64_t> unanswered {
-        0
-    }; // non-repeatable requests given up without a whole response, since the start
+    std::atomic<uint64_t> unanswered { 0 }; // non-repeatable ones given up without a whole response, since the start
     std::atomic<uint64_t> stalls { 0 }; // see StallDetector
 
     // Probability that a call which an upstream of this node makes now belongs to a retry; 0 without a running request.
@@ -128,6 +126,7 @@
     RelayServer::Answer<TokenQuery, TokenReply> token; // if empty, a token is a random operation id of this incarnation
     RelayServer::Answer<ConfigurationQuery, ConfigurationReply> configuration;
     RelayServer::Answer<DirectoryNotice, DirectoryReply> directory;
+    RelayServer::Answer<DepartureNotice, DepartureReply> departures;
 };
 
 //-----------------------------------------------------------------------------
@@ -203,8 +202,8 @@
     std::unordered_map<TicketId, std::shared_ptr<ExecutorJob>> waiting;
     EarlyRejection earlyRejection;
     Backpressure backpressure;
-    std::optional<double> rate; // rate limit that the queue applies, requests per second
     StallDetector stall;
+    std::optional<double> rate; // rate limit that the queue applies, requests per second
 
     LoadReport report(Instant now) const
     {
@@ -251,8 +250,8 @@
     // What a response, or an entry that heard it earlier, says about the upstream.
     void recordSignals(LocalUpstream&, const ResponseSignals&);
     void recordNotice(LocalUpstream&, const UpstreamNotice&);
-    void applyBackpressure(LocalUpstream&);
     void recordRefusal(LocalUpstream&, RefusalReason); // by the admission queue
+    void applyBackpressure(LocalUpstream&);
     void processQueue(const std::shared_ptr<LocalUpstream>&); // dispatches waiting requests, refuses expired ones
     void sweep(); // processes all queues and cancels requests past their deadline
     void remove(const std::shared_ptr<ExecutorJob>&);
--- a/src/node/RelayClient.cpp
+++ b/src/node/RelayClient.cpp
@@ -284,6 +284,12 @@
                 return;
             }
             auto connection = result.value();
+            if (!connection->isUnderstood(message)) {
+                if (*alive)
+                    release(address, std::move(connection));
+                done(Error { ErrorCode::Unsupported, "relay.query", address, "the peer is of an earlier version" });
+                return;
+            }
             auto timer = std::make_shared<SourceHandle>();
             if (replyTimeout > Duration {}) {
                 *timer = callAfter(m_context, replyTimeout, [connection, done, address, timer] {
--- a/src/node/RelayClient.h
+++ b/src/node/RelayClient.h
@@ -69,7 +69,8 @@
     // Starts a call, on an idle connection if there is one. No handler runs before call() returns.
     std::shared_ptr<RelayCall> call(const std::string& address, RequestHead, RelayCall::Handlers, RequestContext = {});
 
-    // Sends a query or notice and passes the next message of the peer to the callback.
+    // Sends a query or notice and passes the next message of the peer to the callback; Unsupported if the peer is of a
+    // version that does not understand it.
     // `replyTimeout`: longest wait for the reply once connected; 0: no timeout.
     void query(const std::string& address, RelayMessage, std::function<void(Result<RelayMessage>)>,
         Duration replyTimeout = {});
--- a/src/node/RelayFrames.cpp
+++ b/src/node/RelayFrames.cpp
@@ -155,6 +155,7 @@
 constexpr size_t minCompressedBytes = 512; // smaller payloads are not compressed, because they gain too little
 constexpr size_t maxCrashBytes = maxCrashReports * (sizeof(Id128) + sizeof(uint32_t) + 2 * sizeof(Fingerprint)) + 1024;
 
+constexpr size_t maxDepartureBytes = maxDeparturesPerNode * 512 + 512;
 constexpr size_t maxDirectoryBytes = 4 << 20; // holds 6,100 node records of at most 600 bytes each
 
 // Largest payload in bytes for each kind of message, in the order of RelayMessage.
@@ -177,6 +178,8 @@
     64, // continue
     1024, // requestContext
     1024, // upstreamNotice
+    maxDepartureBytes, // departureNotice
+    64, // departureReply
 };
 
 void writeBigEndian(std::string& out, size_t at, uint64_t value, size_t bytes)
@@ -247,6 +250,10 @@
 {
     return std::ranges::all_of(reply.records, [](const NodeRecord& it) { return isValid(it); });
 }
+bool isValid(const DepartureNotice& notice)
+{
+    return !notice.node.empty() && notice.departures.size() <= maxDeparturesPerNode;
+}
 template <typename T> bool isValid(const T& /*message*/) { return true; }
 
 // Control messages contain many repeated names and compress well. Requests and responses carry callers' data and are
@@ -286,6 +293,8 @@
 
 uint16_t firstVersionOf(const RelayMessage& message)
 {
+    if (std::holds_alternative<DepartureNotice>(message) || std::holds_alternative<DepartureReply>(message))
+        return 6;
     bool isNew = std::holds_alternative<RequestContext>(message) || std::holds_alternative<UpstreamNotice>(message);
     return isNew ? 5 : 1;
 }
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -252,6 +252,8 @@
         m_handlers.crashes(std::move(*notice), reply);
     else if (auto* directory = std::get_if<DirectoryNotice>(&message); directory && m_handlers.directory)
         m_handlers.directory(std::move(*directory), reply);
+    else if (auto* departures = std::get_if<DepartureNotice>(&message); departures && m_handlers.departures)
+        m_handlers.departures(std::move(*departures), reply);
     else
         removePeer(peer);
 }
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -67,6 +67,7 @@
         Answer<ConfigurationQuery, ConfigurationReply> configuration;
         Answer<CrashNotice, CrashNoticeReply> crashes;
         Answer<DirectoryNotice, DirectoryReply> directory {};
+        Answer<DepartureNotice, DepartureReply> departures {};
     };
 
     RelayServer(GMainContext*, RelayIdentity, Handlers);
--- a/tests/PlatformAdapterTests.cpp
+++ b/tests/PlatformAdapterTests.cpp
@@ -37,8 +37,26 @@
     "services":{"s1":{"health_path":"/health","max_conns":330},"s2":{"health_path":"/health","max_conns":330}},
     "limits":{"max_header_bytes":16384,"max_body_bytes":67108864}})";
 
+Departure decodeDeparture(std::string_view body)
+{
+    auto call = mesh().decodeCall("POST", "/v1/Instances.Deregister/i-1", body);
+    BOOST_REQUIRE((call && *call));
+    return std::get<Departure>(call->value());
+}
+
 } // namespace
 
+// Guards against a late departure that cannot be told from one of the next start, and against an odd body that loses
+// it.
+BOOST_AUTO_TEST_CASE(departureNamesTheStart)
+{
+    BOOST_TEST(decodeDeparture(R"({"born":1700000000000})").processStartedAt == 1'700'000'000'000U);
+    for (std::string_view body : { "", "{", "[]", "null", "{}", R"({"born":"soon"})", R"({"born":-1})" }) {
+        BOOST_TEST(decodeDeparture(body).instance == "i-1");
+        BOOST_TEST(decodeDeparture(body).processStartedAt == 0U);
+    }
+}
+
 // Guards against an upstream registered with the wrong slots, state or identity.
 BOOST_AUTO_TEST_CASE(decodesHeartbeats)
 {
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -79,7 +79,8 @@
         ConfigurationQuery { { { "main", 3, "", "", "" } } }, reply, largestNotice(),
         CrashNoticeReply { { { { 6, 7 }, 8, 9 } }, { 10 } }, notice, DirectoryReply { 15, 16, notice.records, { 17 } },
         Continue { { 18, 19 } }, RequestContext { true, { "i-1@5", 1.5, 0, true } },
-        UpstreamNotice { "i-1@5", 0.25, 700, false } };
+        UpstreamNotice { "i-1@5", 0.25, 700, false }, DepartureNotice { "node-a", { 20, 21 }, { { "i-1", 22 } } },
+        DepartureReply {} };
 }
 
 void appendBigEndian(std::string& out, uint64_t value, size_t bytes)
@@ -375,7 +376,11 @@
 BOOST_AUTO_TEST_CASE(newMessagesNeedANewPeer)
 {
     for (const RelayMessage& message : sampleMessages()) {
-        bool isNew = std::holds_alternative<RequestContext>(message) || std::holds_alternative<UpstreamNotice>(message);
-        BOOST_TEST(firstVersionOf(message) == (isNew ? 5 : 1));
+        uint16_t expected = 1;
+        if (std::holds_alternative<RequestContext>(message) || std::holds_alternative<UpstreamNotice>(message))
+            expected = 5;
+        if (std::holds_alternative<DepartureNotice>(message) || std::holds_alternative<DepartureReply>(message))
+            expected = 6;
+        BOOST_TEST(firstVersionOf(message) == expected);
     }
 }
--- a/tests/UpstreamRegistrationTests.cpp
+++ b/tests/UpstreamRegistrationTests.cpp
@@ -20,8 +20,17 @@
     return result;
 }
 
+constexpr uint64_t now = 50'000; // milliseconds of the wall clock
+
 struct Fixture {
     UpstreamRegistration registration { "bayaran", "10.0.0.1:80" };
+
+    // A process deregisters. Returns whether it is the current one.
+    bool deregister(std::string_view instance, uint64_t processStartedAt)
+    {
+        return registration.applyDeparture(registration.departureOf(instance, processStartedAt, now));
+    }
+    bool isDraining() const { return registration.current()->state == UpstreamState::Draining; }
 };
 
 } // namespace
@@ -49,7 +58,7 @@
 BOOST_FIXTURE_TEST_CASE(restartUnderTheSameIdentityIsANewProcess, Fixture)
 {
     registration.applyReport(report("a", 1000, 50));
-    registration.markDeparted("a");
+    BOOST_TEST(deregister("a", 0));
     BOOST_TEST((registration.applyReport(report("a", 3000, 1)) == ReportResult::Applied));
     BOOST_TEST((registration.current()->state == UpstreamState::Ready));
 }
@@ -64,10 +73,77 @@
     registration.applyReport(report("a", 1000, 3));
     BOOST_TEST((registration.current()->state == UpstreamState::Draining));
     registration.applyReport(report("b", 2000, 1));
-    BOOST_TEST(registration.markDeparted("b"));
+    BOOST_TEST(deregister("b", 0));
     registration.applyReport(report("b", 2000, 2));
     BOOST_TEST((registration.current()->state == UpstreamState::Draining));
-    BOOST_TEST(!registration.markDeparted("a"));
+    BOOST_TEST(!deregister("a", 0));
+}
+
+// Guards against a departure that a restarted node acknowledges and forgets, because it has not heard of the process.
+BOOST_FIXTURE_TEST_CASE(departureOfAnUnknownProcessIsKept, Fixture)
+{
+    BOOST_TEST(!deregister("a", 1000));
+    BOOST_TEST((registration.applyReport(report("a", 1000, 7)) == ReportResult::Applied));
+    BOOST_TEST(isDraining());
+    registration.applyReport(report("a", 1000, 8)); // a second late announcement
+    BOOST_TEST(isDraining());
+    BOOST_TEST((registration.applyReport(report("a", 3000, 1)) == ReportResult::Applied));
+    BOOST_TEST(!isDraining());
+}
+
+// Guards against the same when the departure names no start time.
+BOOST_FIXTURE_TEST_CASE(departureWithoutAStartTimeCoversEarlierStarts, Fixture)
+{
+    BOOST_TEST(!deregister("a", 0));
+    registration.applyReport(report("a", now - 1, 1));
+    BOOST_TEST(isDraining());
+    registration.applyReport(report("a", now + 1, 1));
+    BOOST_TEST(!isDraining());
+}
+
+// Guards against a departure that arrives late and retires the next start of the same instance.
+BOOST_FIXTURE_TEST_CASE(lateDepartureOfAnEarlierStartChangesNothing, Fixture)
+{
+    registration.applyReport(report("a", 1000, 50));
+    registration.applyReport(report("a", 3000, 1));
+    BOOST_TEST(!deregister("a", 1000));
+    BOOST_TEST(!isDraining());
+    BOOST_TEST(deregister("a", 3000));
+    BOOST_TEST(isDraining());
+}
+
+// Guards against requests for a process whose later start under the same identity is known to have left.
+BOOST_FIXTURE_TEST_CASE(departureOfALaterStartCoversTheKnownOne, Fixture)
+{
+    registration.applyReport(report("a", 1000, 50));
+    BOOST_TEST(deregister("a", 3000));
+    BOOST_TEST(isDraining());
+}
+
+// Guards against memory that grows with each process that leaves.
+BOOST_FIXTURE_TEST_CASE(departuresAreBounded, Fixture)
+{
+    constexpr uint64_t count = 1000;
+    for (uint64_t i = 1; i <= count; ++i)
+        deregister("i-" + std::to_string(i), i);
+    registration.applyReport(report("i-" + std::to_string(count), count, 1));
+    BOOST_TEST(isDraining());
+    registration.applyReport(report("i-1", count + 1, 1));
+    BOOST_TEST(!isDraining());
+}
+
+// Guards against passing on the departure of a process that cannot be told from the next one at its address.
+BOOST_FIXTURE_TEST_CASE(departureNeedsAnIdentity, Fixture)
+{
+    UpstreamReport leaving = report("", 0, 0);
+    leaving.state = UpstreamState::Draining;
+    registration.applyReport(leaving);
+    BOOST_TEST(isDraining());
+    BOOST_TEST(!registration.currentDeparture());
+    leaving = report("a", 1000, 1);
+    leaving.state = UpstreamState::Draining;
+    registration.applyReport(leaving);
+    BOOST_TEST((registration.currentDeparture() == UpstreamDeparture { "a", 1000 }));
 }
 
 // Guards against requests being sent to an address that an announcement of another service or address names.
--- /dev/null
+++ b/tests/departure_tests.py
@@ -0,0 +1,147 @@
+"""Departures of upstreams that a node acknowledges, around restarts of that node, on the interface of the users' platform.
+
+Usage: departure_tests.py SOURCE_DIR BINARY. The stand-ins of the platform are those of review/common.
+"""
+
+import os
+import sys
+import tempfile
+import threading
+import time
+
+SOURCE, BINARY = sys.argv[1:3]
+sys.path.insert(0, os.path.join(SOURCE, "review", "common"))
+import bench  # noqa: E402
+
+HOST = "hulo84.example"
+DRAIN_S = 2.5  # a request reaches no upstream later than that after the acknowledgement
+ORDERS = 12
+
+
+class Machine(bench.Machine):
+    """A machine with the binary under test."""
+
+    def start(self, bootstrap=True):
+        path = os.path.join(self.fleet.folder, f"{self.name}.toml")
+        with open(os.path.join(SOURCE, "deploy", "node.toml"), encoding="utf-8") as file:
+            text = bench.render(file.read(), [self.settings(bootstrap)])
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+        with open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab") as log:
+            self.child = bench.subprocess.Popen([BINARY, "serve", "--settings", path], stdout=log, stderr=log)
+
+
+class Play:
+    """Two machines of one service; the upstream of the first one is about to leave, and the test sends its heartbeats."""
+
+    def __init__(self, record):
+        self.fleet = bench.Fleet(record)
+        self.first = self.fleet.add("bekalan", zone="ipoh")
+        self.second = self.fleet.add("bekalan", zone="penang")
+        self.fleet.configure("r3", {"r-1": bench.route(HOST, "/xapu221/", "bekalan", kind="unsafe")})
+        self.fleet.start()
+        time.sleep(1.5)
+        self.upstream = self.first.backend
+        self.upstream.beats.set()
+        self.upstream.beat(self.control())
+
+    def control(self):
+        return self.first.listen["control"]
+
+    def restart(self):
+        self.first.kill()
+        time.sleep(0.3)
+        self.first.start(bootstrap=False)
+        self.first.wait_ready()
+        time.sleep(1.5)  # peers return what the node has forgotten within this time
+
+    def late_beats(self, count=2):
+        """Heartbeats that the upstream sent while it was ready, and that are held up on the way."""
+        return [self.upstream.beat_body() for _ in range(count)]
+
+    def orders_at_the_upstream(self):
+        """Orders, of callers at both machines, that reach the upstream of the first machine."""
+        before = len(self.upstream.runs)
+        for i in range(ORDERS):
+            client = bench.Client([self.first, self.second][i % 2])
+            client.request("POST", HOST, "/xapu221/order", b"wire 3 mm", 5000)
+            client.close()
+        return len(self.upstream.runs) - before
+
+
+def expect(ok, text):
+    return [] if ok else [text]
+
+
+def departure_after_restart(play):
+    play.restart()
+    late = play.late_beats()
+    problems = expect(play.upstream.leave(play.control()) == 200, "not acknowledged")
+    time.sleep(DRAIN_S)
+    for it in late:
+        play.upstream.beat(play.control(), it)
+    time.sleep(0.5)
+    return problems + expect(not play.orders_at_the_upstream(), "orders reached an upstream that has left")
+
+
+def departure_before_restart(play):
+    late = play.late_beats()
+    problems = expect(play.upstream.leave(play.control()) == 200, "not acknowledged")
+    time.sleep(DRAIN_S)
+    play.restart()
+    for it in late:
+        play.upstream.beat(play.control(), it)
+    time.sleep(0.5)
+    return problems + expect(not play.orders_at_the_upstream(), "orders reached an upstream that has left")
+
+
+def draining_before_restart(play):
+    late = play.late_beats()
+    play.upstream.state = "draining"
+    problems = expect(play.upstream.beat(play.control()) == 200, "not acknowledged")
+    time.sleep(DRAIN_S)
+    play.restart()
+    for it in late:
+        play.upstream.beat(play.control(), it)
+    time.sleep(0.5)
+    return problems + expect(not play.orders_at_the_upstream(), "orders reached a draining upstream")
+
+
+def late_departure_of_an_earlier_start(play):
+    upstream = play.upstream
+    earlier = upstream.born
+    upstream.born += 1000
+    upstream.sequence = 0
+    upstream.beat(play.control())
+    play.upstream.post(play.control(), f"/v1/Instances.Deregister/{upstream.id}", {"born": earlier})
+    time.sleep(0.5)
+    return expect(play.orders_at_the_upstream(), "the departure of an earlier start has retired the next one")
+
+
+def run(case, problems):
+    with tempfile.TemporaryDirectory() as folder:
+        play = Play(bench.Record(os.path.join(folder, "record.txt")))
+        try:
+            problems += [f"{case.__name__}: {it}" for it in case(play)]
+        except Exception as error:  # the case could not be played
+            problems.append(f"{case.__name__}: {type(error).__name__}: {error}")
+        finally:
+            play.fleet.stop()
+
+
+def main():
+    bench.Machine = Machine
+    problems = []
+    threads = [threading.Thread(target=run, args=(case, problems)) for case in (
+        departure_after_restart, departure_before_restart, draining_before_restart, late_departure_of_an_earlier_start)]
+    for it in threads:
+        it.start()
+    for it in threads:
+        it.join()
+    for it in problems:
+        print(it, file=sys.stderr)
+    sys.stderr.flush()
+    os._exit(1 if problems else 0)  # without waiting for the stand-ins' threads
+
+
+main()
