End a call whose interim responses do not end

Seen by callers: one upstream that writes 1xx responses without end stops the node beside it: no request is served there any more, and it does not stop.

Cause: libsoup 3.2.3 reads interim responses in a loop that it leaves only when there is no input, so the executor's thread never came back. The store client is on the same path.

Change: the 17th interim response to one call ends it, as upstream-invalid with an error that names the limit; the same for calls to the store.

StoreClientProcessTests plays the same kinds against the store client and passes with the change; it was not run without it.

--- a/src/node/StoreClient.cpp
+++ b/src/node/StoreClient.cpp
@@ -14,6 +14,7 @@
 constexpr size_t maxListBytes = 32 * maxStoreValueBytes; // limit of a response to a list
 constexpr size_t readChunkBytes = 65'536; // largest single read from a response body
 constexpr guint maxConnections = 64; // each watch occupies a connection while it waits
+constexpr uint32_t maxInterimResponses = 16; // 1xx responses to one call
 
 GMainContext* currentContext()
 {
@@ -90,6 +91,7 @@
     bool isWrite = false;
     bool isStarted = false; // true once bytes of the request may have left this process
     bool isTimedOut = false;
+    uint32_t interimResponses = 0;
     std::optional<ErrorCode> overtaken; // error if the store has begun another era since the call; empty: none
     uint64_t eraAtSend = 0;
     std::function<void(Result<StoreHttpResponse>)> onResponse;
@@ -112,6 +114,7 @@
     gpointer makeReference() { return new std::shared_ptr<Call>(shared_from_this()); }
     bool isClientDestroyed() const { return shared.expired(); }
 
+    static void handleInterimResponse(SoupMessage*, gpointer data);
     static void handleSent(GObject* session, GAsyncResult* result, gpointer data);
     static void handleRead(GObject* stream, GAsyncResult* result, gpointer data);
 };
@@ -121,10 +124,19 @@
     // "starting" is emitted before the first byte is written to the connection; "wrote-headers" would be too late.
     g_signal_connect(message.get(), "starting",
         G_CALLBACK(+[](SoupMessage*, gpointer self) { static_cast<Call*>(self)->isStarted = true; }), this);
+    g_signal_connect(message.get(), "got-informational", G_CALLBACK(&Call::handleInterimResponse), this);
     soup_session_send_async(
         session.get(), message.get(), G_PRIORITY_DEFAULT, cancellable.get(), &Call::handleSent, makeReference());
 }
 
+// See UpstreamCall::onInterimResponse().
+void StoreClient::Call::handleInterimResponse(SoupMessage* /*message*/, gpointer data)
+{
+    auto* call = static_cast<Call*>(data);
+    if (++call->interimResponses > maxInterimResponses)
+        g_cancellable_cancel(call->cancellable.get());
+}
+
 void StoreClient::Call::handleSent(GObject* session, GAsyncResult* result, gpointer data)
 {
     std::shared_ptr<Call> call = takeReference(data);
--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -101,6 +101,17 @@
     g_cancellable_cancel(static_cast<UpstreamCall*>(data)->m_cancellable.get());
 }
 
+// libsoup 3.2.3 reads interim responses in a loop that it leaves only when no input is left, so that an upstream which
+// writes them without end would hold the task for good.
+void UpstreamCall::onInterimResponse(SoupMessage* /*message*/, gpointer data)
+{
+    auto* self = static_cast<UpstreamCall*>(data);
+    if (++self->m_interimResponses <= maxInterimResponses)
+        return;
+    g_cancellable_cancel(self->m_cancellable.get());
+    self->dropConnection();
+}
+
 void UpstreamCall::onNetworkEvent(
     SoupMessage* /*message*/, GSocketClientEvent event, GIOStream* connection, gpointer data)
 {
@@ -153,6 +164,7 @@
     setBody(std::move(request));
     g_signal_connect(m_message.get(), "starting", G_CALLBACK(onStarting), this);
     g_signal_connect(m_message.get(), "restarted", G_CALLBACK(onRestarted), this);
+    g_signal_connect(m_message.get(), "got-informational", G_CALLBACK(onInterimResponse), this);
     g_signal_connect(m_message.get(), "network-event", G_CALLBACK(onNetworkEvent), this);
     m_connectTimer = callAfter(context, connectTimeout, [this] {
         m_connectTimedOut = true;
@@ -273,6 +285,8 @@
         return RefusalReason::UpstreamUnreachable;
     if (m_headReceived)
         return RefusalReason::UpstreamTruncated;
+    if (m_interimResponses > maxInterimResponses)
+        return RefusalReason::UpstreamInvalid;
     bool malformed = error && error->domain == SOUP_SESSION_ERROR && error->code == SOUP_SESSION_ERROR_PARSING;
     return malformed ? RefusalReason::UpstreamInvalid : RefusalReason::UpstreamCrashed;
 }
@@ -283,6 +297,9 @@
     Error detail = errorFrom(error, step, m_peer);
     if (m_connectTimedOut)
         detail.code = ErrorCode::Timeout;
+    if (m_interimResponses > maxInterimResponses)
+        detail = { ErrorCode::Invalid, step, m_peer,
+            fmt::format("more than {} interim responses to one request", maxInterimResponses) };
     fail({ std::move(detail), reason, m_started });
 }
 
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -68,6 +68,7 @@
 private:
     friend class UpstreamClient;
     static constexpr size_t bodyBufferBytes = 128 << 10; // buffered request body from which isBodyWritable() is false
+    static constexpr uint32_t maxInterimResponses = 16; // 1xx responses to one request
 
     void send(GMainContext*, SoupSession*, GUri* base, UpstreamRequest&&, Duration connectTimeout);
     void setBody(UpstreamRequest&&);
@@ -79,6 +80,7 @@
     RefusalReason reasonOf(const GError*) const;
     static void onStarting(SoupMessage*, gpointer);
     static void onRestarted(SoupMessage*, gpointer);
+    static void onInterimResponse(SoupMessage*, gpointer);
     static void onNetworkEvent(SoupMessage*, GSocketClientEvent, GIOStream*, gpointer);
 
     std::shared_ptr<Handlers> m_handlers;
@@ -92,6 +94,7 @@
     std::string m_peer;
     std::string m_buffer;
     Instant m_startedAt {};
+    uint32_t m_interimResponses = 0;
     bool m_started = false;
     bool m_isOnKeptConnection = false;
     bool m_headReceived = false;
--- a/tests/StoreClientProcessTests.cpp
+++ b/tests/StoreClientProcessTests.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE StoreClientProcess
+#include "EndlessResponses.h"
 #include "FaultProxy.h"
 #include "StoreClient.h"
 #include "StoreStandIn.h"
@@ -473,3 +474,30 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a store that writes without end and so holds the control task, or its memory, for good.
+BOOST_AUTO_TEST_CASE(endlessResponsesHoldLittleAndEnd)
+{
+    constexpr size_t maxGrowthKiB = 8 << 10;
+    constexpr Duration limit = 5s;
+    for (const EndlessResponse& response : endlessResponses()) {
+        BOOST_TEST_CONTEXT(response.name)
+        {
+            RawUpstream raw([&](const std::string& head) {
+                return RawResponse { response.start(idOf(head)), false, false, response.repeated };
+            });
+            StoreClient client("http://" + raw.address(), 1s);
+            size_t before = residentKiB();
+            Instant start = currentInstant();
+            Reply<StoredObject> read;
+            Reply<uint64_t> write;
+            client.get("kind", "name", read.callback());
+            client.put("kind", "name", "value", 0, write.callback());
+            runUntil([&] { return read.result && write.result; });
+            BOOST_TEST((currentInstant() - start).count() < limit.count());
+            BOOST_TEST(residentKiB() - std::min(before, residentKiB()) <= maxGrowthKiB);
+            if (!*write.result)
+                BOOST_TEST(write.result->error().code != makeErrorCode(ErrorCode::Unavailable)); // it may have run
+        }
+    }
+}
