Do not keep the body that an admin port has refused

Seen: 1.8 GB of memory within 1.5 s from four connections that state a length of 10^12 to the port for heartbeats, readiness and metrics, and send it.

Cause: a body above the limit was answered 413 by its stated length, but the library goes on reading it before it writes the response, and keeps it. Only bodies in chunks were checked while they came in.

Change: such a body is not kept, and its connection is closed after 1 MiB.

--- a/src/node/AdminServer.cpp
+++ b/src/node/AdminServer.cpp
@@ -134,8 +134,9 @@
     return port;
 }
 
-// Rejects a body above maxBodyBytes by its Content-Length. A chunked body is checked in handleChunk(), which shuts down
-// the connection as soon as the limit is exceeded.
+// Rejects a body above maxBodyBytes by its Content-Length. libsoup writes the response only after it has read the body,
+// so a part of it is read and discarded. A chunked body is checked in handleChunk(), which shuts down the connection as
+// soon as the limit is exceeded.
 void AdminServer::handleHeaders(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer)
 {
     SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
@@ -144,6 +145,8 @@
         soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
         respondError(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
             fmt::format("body must have at most {} bytes", maxBodyBytes));
+        soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+        g_signal_connect(message, "got-chunk", G_CALLBACK(&AdminServer::discardChunk), nullptr);
         return;
     }
     g_signal_connect(message, "got-chunk", G_CALLBACK(&AdminServer::handleChunk), nullptr);
@@ -155,6 +158,15 @@
         g_socket_shutdown(soup_server_message_get_socket(message), TRUE, TRUE, nullptr);
 }
 
+void AdminServer::discardChunk(SoupServerMessage* message, GBytes* bytes, gpointer)
+{
+    constexpr const char* counterName = "gooseberrymill-discarded-bytes";
+    gsize n = GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), counterName)) + g_bytes_get_size(bytes);
+    g_object_set_data(G_OBJECT(message), counterName, GSIZE_TO_POINTER(n));
+    if (n > maxDiscardedBytes)
+        g_socket_shutdown(soup_server_message_get_socket(message), TRUE, TRUE, nullptr);
+}
+
 void AdminServer::handle(SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer self)
 {
     auto* server = static_cast<AdminServer*>(self);
--- a/src/node/AdminServer.h
+++ b/src/node/AdminServer.h
@@ -73,6 +73,7 @@
 class AdminServer {
 public:
     static constexpr size_t maxBodyBytes = 16'384;
+    static constexpr size_t maxDiscardedBytes = 1 << 20; // of a body above that, before the connection is closed
 
     explicit AdminServer(AdminCallbacks);
     AdminServer(const AdminServer&) = delete;
@@ -84,6 +85,7 @@
 private:
     static void handleHeaders(SoupServer*, SoupServerMessage*, const char* path, GHashTable*, gpointer self);
     static void handleChunk(SoupServerMessage*, GBytes*, gpointer);
+    static void discardChunk(SoupServerMessage*, GBytes*, gpointer);
     static void handle(SoupServer*, SoupServerMessage*, const char* path, GHashTable*, gpointer self);
     bool servePlatformCall(
         SoupServerMessage*, std::string_view method, std::string_view path, std::string_view body) const;
