Let other callers have their turn while one writes its body

Seen by callers: while four callers write chunks of one byte, other callers of the same worker wait up to 8.6 s, and give up.

Cause: libsoup reads a request body as long as there is input. A refused body may have 1 MiB more, in chunks of one byte a million turns of that loop.

Change: after 64 pieces of a body the message is paused until the worker's loop has come round.

--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -19,6 +19,7 @@
 constexpr size_t writeHighWatermark = 256 << 10; // the executor is paused above this many unwritten response bytes
 constexpr size_t writeLowWatermark = 64 << 10; // the executor is resumed below this many unwritten response bytes
 constexpr uint64_t maxDiscardedBytes = 1 << 20; // unused request body that is read before the connection is reset
+constexpr uint32_t maxChunksPerTurn = 64; // pieces of a request body that are read before other callers get their turn
 // Attempts beyond maxAttempts, for executors that reject the request before dispatch. Each costs a round trip to a
 // node.
 constexpr uint32_t maxUndispatchedRetries = 6;
@@ -151,6 +152,24 @@
 {
     auto self = static_cast<EntryExchange*>(data)->shared_from_this();
     self->receiveBodyChunk(bytes);
+    self->limitTurn();
+}
+
+// libsoup reads as long as there is input, so that a caller which writes fast would hold the worker.
+void EntryExchange::limitTurn()
+{
+    if (m_finished || ++m_chunksInTurn < maxChunksPerTurn)
+        return;
+    m_chunksInTurn = 0;
+    m_hasEndedTurn = true;
+    updatePause();
+    m_nextTurn = callAfter(m_worker.m_task.context(), {}, [weak = weak_from_this()] {
+        if (auto self = weak.lock(); self && !self->m_finished) {
+            self->m_hasEndedTurn = false;
+            self->updatePause();
+        }
+        return false;
+    });
 }
 
 void EntryExchange::receiveBodyChunk(GBytes* bytes)
@@ -988,8 +1007,9 @@
 {
     if (m_finished || !m_message)
         return;
-    bool shouldPause
+    bool isWaiting
         = m_bodyReceived ? !m_responseHeadWritten : !m_responseHeadWritten && m_unsentBody.size() > maxUnsentBodyBytes;
+    bool shouldPause = isWaiting || (m_hasEndedTurn && !m_bodyReceived);
     if (shouldPause == m_paused && !m_responseHeadWritten)
         return;
     m_paused = shouldPause;
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -35,6 +35,7 @@
     static void onWroteBodyData(SoupServerMessage*, guint size, gpointer);
     static void onFinished(SoupServerMessage*, gpointer);
     void receiveBodyChunk(GBytes*);
+    void limitTurn(); // pauses the message after maxChunksPerTurn chunks, until other callers had their turn
     void onMessageFinished();
     bool isCallerDisconnected() const;
 
@@ -127,6 +128,9 @@
     bool m_isBodyReplayable = true; // whether m_sentBody holds everything that was sent
     bool m_discardsBody = false; // the request needs no body; what arrives is dropped
     bool m_bodyEndSent = false; // the end of the body was sent in the current attempt
+    uint32_t m_chunksInTurn = 0;
+    bool m_hasEndedTurn = false; // no chunk is read before m_nextTurn runs
+    SourceHandle m_nextTurn;
 
     // Response.
     ResponseHead m_response;
--- a/tests/EndlessRequestsProcessTests.cpp
+++ b/tests/EndlessRequestsProcessTests.cpp
@@ -122,7 +122,14 @@
 
 } // namespace
 
-// Guards against memory and waits without bound on the port for heartbeats, readiness and metrics.
+// Guards against memory and waits without bound while callers write without end.
+BOOST_AUTO_TEST_CASE(callerPortBoundsEndlessRequests)
+{
+    Fleet fleet({ .nodes = 2 });
+    checkPort(fleet, fleet.node(0).callers, "/read/sound", "/order/a");
+}
+
+// Guards against the same on the port for heartbeats, readiness and metrics.
 BOOST_AUTO_TEST_CASE(adminPortBoundsEndlessRequests)
 {
     Fleet fleet({ .nodes = 2 });
