Soak: upstreams that fall mute, and a check that each upstream is used again

Cause: no event of the soak left an upstream mute, and its end looked at nodes only, so slots that are lost for good did not show.

Change: upstreams without a rate limit take requests and never answer them for a while; upstreams have 4 slots, callers a deadline of 4 s. At the end each upstream must get requests again within the recovery time.

--- a/tests/FaultSoakProcessTests.cpp
+++ b/tests/FaultSoakProcessTests.cpp
@@ -1,6 +1,7 @@
 // Soak of the real programs under random faults from outside: signals to the processes, faults of the paths between
-// nodes and of the store, new configurations, in overlapping series, while some upstreams name a rate limit. Callers
-// keep their connections open and check what they get while it runs; what upstreams saw is checked at the end.
+// nodes and of the store, new configurations, in overlapping series, while some upstreams name a rate limit and others
+// fall mute. Callers keep their connections open and check what they get while it runs; what upstreams saw is checked
+// at the end.
 //
 //   FaultSoakProcessTests                             seeds that failed once, and one more
 //   GM_SOAK_SEED=100 GM_SOAK_COUNT=50 GM_SOAK_SECONDS=20 FaultSoakProcessTests
@@ -23,6 +24,8 @@
 constexpr auto recoveryTime = 15s; // as the platform allows after a fault
 constexpr size_t maxResidentKiB = 260 << 10; // memory of the smallest instance that is planned for
 constexpr size_t maxDescriptors = 1000;
+constexpr uint32_t slotCount = 4; // of an upstream; fewer than the callers, so that mute upstreams can take all
+constexpr const char* callerDeadlineMs = "4000";
 
 uint64_t numberFrom(const char* variable, uint64_t fallback)
 {
@@ -75,8 +78,9 @@
         sent.entry = m_entry;
         sent.isOrder = m_random() % 2;
         sent.target = fmt::format("/{}/{}-{}", sent.isOrder ? "order" : "read", m_name, m_sent.size());
-        sent.response = sent.isOrder ? m_connection->request("POST", sent.target, {}, "one order")
-                                     : m_connection->request("GET", sent.target);
+        const std::vector<Header> headers { { HeaderName::deadline, callerDeadlineMs } };
+        sent.response = sent.isOrder ? m_connection->request("POST", sent.target, headers, "one order")
+                                     : m_connection->request("GET", sent.target, headers);
         sent.receivedAt = Clock::now();
         bool isOpen = sent.response.complete && sent.response.header("Connection") != "close";
         if (!isOpen || m_random() % 10 == 0)
@@ -97,9 +101,12 @@
 // Faults of one run, drawn from a seed. Each ends by itself; several overlap.
 class Faults {
 public:
-    Faults(Fleet& fleet, std::vector<std::unique_ptr<FaultProxy>>& paths, uint64_t seed)
+    // `unlimited`: upstreams that name no rate limit and may fall mute.
+    Faults(Fleet& fleet, std::vector<std::unique_ptr<FaultProxy>>& paths, const std::array<size_t, 2>& unlimited,
+        uint64_t seed)
         : m_fleet(fleet)
         , m_paths(paths)
+        , m_unlimited(unlimited)
         , m_random(seed)
     {
     }
@@ -163,7 +170,7 @@
     {
         size_t i = m_random() % m_fleet.size();
         uint64_t millis = 200 + m_random() % 1800;
-        switch (m_random() % 7) {
+        switch (m_random() % 8) {
         case 0:
             return pause(i, millis);
         case 1:
@@ -176,6 +183,8 @@
             return failStore(millis);
         case 5:
             return restoreStore(millis);
+        case 6:
+            return muteUpstream(m_unlimited[i % m_unlimited.size()], millis);
         default:
             return configure();
         }
@@ -233,6 +242,14 @@
         });
     }
 
+    // The upstream takes requests and never answers them.
+    void muteUpstream(size_t i, uint64_t millis)
+    {
+        note(fmt::format("upstream {} mute {} ms", i, millis));
+        m_fleet.setUpstreamFault(i, "fault=hold");
+        after(millis, [this, i] { m_fleet.setUpstreamFault(i, ""); });
+    }
+
     void failStore(uint64_t millis)
     {
         const char* how = m_random() % 2 ? "refuse" : "hang";
@@ -262,6 +279,7 @@
 
     Fleet& m_fleet;
     std::vector<std::unique_ptr<FaultProxy>>& m_paths;
+    std::array<size_t, 2> m_unlimited;
     std::mt19937_64 m_random;
     std::vector<Ending> m_endings;
     std::array<bool, nodeCount> m_isDown {};
@@ -354,6 +372,7 @@
 {
     FleetShape shape;
     shape.nodes = nodeCount;
+    shape.slots = slotCount;
     shape.fleetSettings = "discovery = \"store\"\n";
     std::vector<std::string> sections;
     for (size_t i = 0; i < nodeCount; ++i) {
@@ -418,7 +437,7 @@
     for (Caller& it : callers)
         threads.emplace_back([&it, &isStopped] { it.run(isStopped); });
     std::array limits { NamedLimit(fleet, seed % nodeCount), NamedLimit(fleet, (seed + 1) % nodeCount) };
-    Faults faults(fleet, paths, seed);
+    Faults faults(fleet, paths, { (seed + 2) % nodeCount, (seed + 3) % nodeCount }, seed);
     faults.run(length);
     for (NamedLimit& it : limits)
         it.end();
@@ -427,6 +446,11 @@
         bool isServing = waitUntil([&] { return fleet.call(i, "GET", "/read/after").status == 200; }, recoveryTime);
         BOOST_TEST(isServing, "node " << i << " does not serve again; " << context);
     }
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        size_t before = fleet.total(i);
+        bool isUsed = waitUntil([&] { return fleet.total(i) > before; }, recoveryTime);
+        BOOST_TEST(isUsed, "upstream " << i << " gets no requests again; " << context);
+    }
     std::string lastPath = faults.configureLast();
     for (size_t i = 0; i < fleet.size(); ++i) {
         bool isInForce = waitUntil([&] { return fleet.call(i, "GET", lastPath).status == 200; }, inForceLimit);
