--- a/tests/EndlessRequestsProcessTests.cpp
+++ b/tests/EndlessRequestsProcessTests.cpp
@@ -1,6 +1,7 @@
 // Callers that write without end, in every part of a request, to each port of a node that speaks HTTP.
 #define BOOST_TEST_MODULE EndlessRequestsProcess
 #include "FleetHarness.h"
+#include "RepeatedText.h"
 
 #include <deque>
 
@@ -18,14 +19,6 @@
     std::string repeated;
 };
 
-std::string repeat(std::string_view text, size_t bytes = 16 << 10)
-{
-    std::string result;
-    while (result.size() < bytes)
-        result += text;
-    return result;
-}
-
 std::vector<EndlessRequest> endlessRequests(const std::string& readTarget, const std::string& postTarget)
 {
     std::string get = "GET " + readTarget + " HTTP/1.1\r\nHost: test\r\n";
--- a/tests/EndlessResponses.h
+++ b/tests/EndlessResponses.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "RawUpstream.h"
+#include "RepeatedText.h"
 
 #include <fstream>
 
@@ -14,14 +15,6 @@
     std::string repeated;
 };
 
-inline std::string repeat(std::string_view text, size_t bytes = 16 << 10)
-{
-    std::string result;
-    while (result.size() < bytes)
-        result += text;
-    return result;
-}
-
 inline std::function<std::string(const std::string&)> headThat(const std::string& rest)
 {
     return [rest](const std::string& id) { return headOf("200 OK", id, "Response-Signature: s\r\n" + rest); };
--- a/tests/departure_tests.py
+++ b/tests/departure_tests.py
@@ -73,38 +73,35 @@
     return [] if ok else [text]
 
 
-def departure_after_restart(play):
-    play.restart()
-    late = play.late_beats()
-    problems = expect(play.upstream.leave(play.control()) == 200, "not acknowledged")
-    time.sleep(DRAIN_S)
+def orders_after_late_beats(play, late):
     for it in late:
         play.upstream.beat(play.control(), it)
     time.sleep(0.5)
-    return problems + expect(not play.orders_at_the_upstream(), "orders reached an upstream that has left")
+    return expect(not play.orders_at_the_upstream(), "orders reached an upstream that has left or is draining")
 
 
-def departure_before_restart(play):
+def departure_after_restart(play):
+    play.restart()
     late = play.late_beats()
     problems = expect(play.upstream.leave(play.control()) == 200, "not acknowledged")
     time.sleep(DRAIN_S)
-    play.restart()
-    for it in late:
-        play.upstream.beat(play.control(), it)
-    time.sleep(0.5)
-    return problems + expect(not play.orders_at_the_upstream(), "orders reached an upstream that has left")
+    return problems + orders_after_late_beats(play, late)
 
 
-def draining_before_restart(play):
+def departure_before_restart(play, leave=lambda play: play.upstream.leave(play.control())):
     late = play.late_beats()
-    play.upstream.state = "draining"
-    problems = expect(play.upstream.beat(play.control()) == 200, "not acknowledged")
+    problems = expect(leave(play) == 200, "not acknowledged")
     time.sleep(DRAIN_S)
     play.restart()
-    for it in late:
-        play.upstream.beat(play.control(), it)
-    time.sleep(0.5)
-    return problems + expect(not play.orders_at_the_upstream(), "orders reached a draining upstream")
+    return problems + orders_after_late_beats(play, late)
+
+
+def draining_before_restart(play):
+    def drain(play):
+        play.upstream.state = "draining"
+        return play.upstream.beat(play.control())
+
+    return departure_before_restart(play, drain)
 
 
 def late_departure_of_an_earlier_start(play):
