--- a/tests/DepartureBookTests.cpp
+++ b/tests/DepartureBookTests.cpp
@@ -14,6 +14,7 @@
 std::vector<std::string> instancesIn(const std::vector<UpstreamDeparture>& departures)
 {
     std::vector<std::string> names;
+    names.reserve(departures.size());
     for (const UpstreamDeparture& it : departures)
         names.push_back(it.instance);
     return names;
