Count only departures that were sent as told to a restarted node

Cause: the reply of a restarted node marked all departures of its upstream as known to it, also one that had been recorded while the notice was on its way. That one was never returned, and a late announcement could bring the upstream back into use.

Change: the reply marks what the notice named.

--- a/src/core/DepartureBook.cpp
+++ b/src/core/DepartureBook.cpp
@@ -30,13 +30,15 @@
     return unknown;
 }
 
-void DepartureBook::told(std::string_view node, const Id128& incarnation)
+void DepartureBook::told(std::string_view node, const Id128& incarnation, std::span<const UpstreamDeparture> departures)
 {
     auto it = m_nodes.find(node);
     if (it == m_nodes.end())
         return;
-    for (Entry& entry : it->second)
-        entry.knownTo = incarnation;
+    for (Entry& entry : it->second) {
+        if (std::ranges::find(departures, entry.departure) != departures.end())
+            entry.knownTo = incarnation;
+    }
 }
 
 void DepartureBook::tick(Instant now)
--- a/src/core/DepartureBook.h
+++ b/src/core/DepartureBook.h
@@ -16,9 +16,9 @@
 
     void record(const DepartureNotice&, Instant now);
 
-    // The departures of a node that its present incarnation does not know. They are returned until told() is called.
+    // The departures of a node that its present incarnation does not know. They are returned until told() names them.
     std::vector<UpstreamDeparture> unknownTo(std::string_view node, const Id128& incarnation) const;
-    void told(std::string_view node, const Id128& incarnation);
+    void told(std::string_view node, const Id128& incarnation, std::span<const UpstreamDeparture> departures);
 
     void tick(Instant now); // removes what has outlived its lifetime
     bool isEmpty() const { return m_nodes.empty(); }
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -689,11 +689,11 @@
         if (unknown.empty() || !m_returningTo.insert(peer.name).second)
             return;
         m_relay->query(
-            peer.relayAddress, DepartureNotice { peer.name, peer.incarnation, std::move(unknown) },
-            [this, name = peer.name, incarnation = peer.incarnation](const Result<RelayMessage>& result) {
+            peer.relayAddress, DepartureNotice { peer.name, peer.incarnation, unknown },
+            [this, name = peer.name, incarnation = peer.incarnation, unknown](const Result<RelayMessage>& result) {
                 m_returningTo.erase(name);
                 if (result && std::holds_alternative<DepartureReply>(result.value()))
-                    m_departures.told(name, incarnation);
+                    m_departures.told(name, incarnation, unknown);
             },
             peerTimeout);
     });
--- a/tests/DepartureBookTests.cpp
+++ b/tests/DepartureBookTests.cpp
@@ -27,6 +27,7 @@
     {
         book.record({ "node-a", incarnation, { { instance, 1000 } } }, now);
     }
+    void tellAll(const Id128& incarnation) { book.told("node-a", incarnation, book.unknownTo("node-a", incarnation)); }
     std::vector<std::string> unknownTo(const Id128& incarnation) const
     {
         return instancesIn(book.unknownTo("node-a", incarnation));
@@ -44,7 +45,7 @@
     BOOST_TEST(unknownTo(firstIncarnation).empty());
     BOOST_TEST(unknownTo(nextIncarnation) == Names { "i-1" });
     BOOST_TEST(unknownTo(nextIncarnation) == Names { "i-1" });
-    book.told("node-a", nextIncarnation);
+    tellAll(nextIncarnation);
     BOOST_TEST(unknownTo(nextIncarnation).empty());
     BOOST_TEST(book.unknownTo("node-b", nextIncarnation).empty());
 }
@@ -61,11 +62,21 @@
 BOOST_FIXTURE_TEST_CASE(lateNoticeOfTheEarlierIncarnationIsReturned, Fixture)
 {
     record("i-1", firstIncarnation);
-    book.told("node-a", nextIncarnation);
+    tellAll(nextIncarnation);
     record("i-2", firstIncarnation);
     BOOST_TEST(unknownTo(nextIncarnation) == Names { "i-2" });
 }
 
+// Guards against a departure that counts as told because it was recorded while others were on their way.
+BOOST_FIXTURE_TEST_CASE(onlyWhatWasSentCountsAsTold, Fixture)
+{
+    record("i-1", firstIncarnation);
+    auto sent = book.unknownTo("node-a", nextIncarnation);
+    record("i-2", firstIncarnation);
+    book.told("node-a", nextIncarnation, sent);
+    BOOST_TEST(unknownTo(nextIncarnation) == Names { "i-2" });
+}
+
 // Guards against memory that grows with each departure.
 BOOST_FIXTURE_TEST_CASE(departuresAreBoundedAndEnd, Fixture)
 {
