Keep the latest start of an instance that has left

Cause: a late notice about an earlier start of an instance replaced the departure of its later start at the peers, so a restarted node was told less than it had acknowledged.

Change: a notice with an earlier start than the one recorded changes nothing.

Evidence: latestStartOfAnInstanceIsKept failed before (1000 in place of 2000) and passes.

--- a/src/core/DepartureBook.cpp
+++ b/src/core/DepartureBook.cpp
@@ -10,7 +10,11 @@
         return;
     auto& entries = m_nodes[notice.node];
     for (const UpstreamDeparture& departure : notice.departures) {
-        std::erase_if(entries, [&](const Entry& it) { return it.departure.instance == departure.instance; });
+        auto isSameInstance = [&](const Entry& it) { return it.departure.instance == departure.instance; };
+        auto known = std::ranges::find_if(entries, isSameInstance);
+        if (known != entries.end() && known->departure.startedUpTo > departure.startedUpTo)
+            continue; // a late notice
+        std::erase_if(entries, isSameInstance);
         if (entries.size() >= maxDeparturesPerNode)
             entries.erase(entries.begin());
         entries.push_back({ departure, notice.incarnation, now });
--- a/tests/DepartureBookTests.cpp
+++ b/tests/DepartureBookTests.cpp
@@ -77,6 +77,16 @@
     BOOST_TEST(unknownTo(nextIncarnation) == Names { "i-2" });
 }
 
+// Guards against a late notice about an earlier start that replaces the departure of a later one.
+BOOST_FIXTURE_TEST_CASE(latestStartOfAnInstanceIsKept, Fixture)
+{
+    book.record({ "node-a", firstIncarnation, { { "i-1", 2000 } } }, start);
+    record("i-1", firstIncarnation);
+    auto unknown = book.unknownTo("node-a", nextIncarnation);
+    BOOST_TEST_REQUIRE(unknown.size() == 1U);
+    BOOST_TEST(unknown.front().startedUpTo == 2000U);
+}
+
 // Guards against memory that grows with each departure.
 BOOST_FIXTURE_TEST_CASE(departuresAreBoundedAndEnd, Fixture)
 {
