Free the calls that are pending when a task ends

Cause: GLib detaches all sources of a context that it destroys, then destroys them one by one. The function of one may own the handle of another; SourceHandle then called g_source_destroy() on a detached source, which GLib only marks as destroyed and passes over afterwards. Whether it happens depends on the order of the sources.

Change: SourceHandle leaves a source without context to GLib and only releases its own reference.

--- a/src/node/GlibHandles.h
+++ b/src/node/GlibHandles.h
@@ -80,7 +80,10 @@
     void reset()
     {
         if (GSource* source = std::exchange(m_source, nullptr)) {
-            g_source_destroy(source);
+            // A source without its context belongs to a context that is being destroyed. GLib destroys such a source
+            // itself, and never frees one that was destroyed meanwhile by someone else.
+            if (!g_source_is_destroyed(source) && g_source_get_context(source))
+                g_source_destroy(source);
             g_source_unref(source);
         }
     }
