Departures between nodes as a class of their own

Change: DepartureExchange holds it, moved as it was; DirectoryControl makes one and passes notices and ticks on. Nothing that a node sends or logs has changed.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -33,7 +33,6 @@
 constexpr uint32_t failedNoticesUntilLost = 5; // minimum, besides lostNodeTimeout
 constexpr size_t peersComparedWhenIsolated = 2;
 constexpr size_t neighboursComparedAtStart = 2; // two, as one of them may have just started as well
-constexpr size_t departureCopies = 16; // peers that remember a departure; enough when most nodes of a region restart
 constexpr std::string_view recordKindPrefix = "nodes-"; // followed by the region: one object kind per region
 
 ConfigurationSyncSettings syncSettings()
@@ -126,6 +125,12 @@
     if (auto error = m_node->start())
         return error;
     m_directory = std::make_unique<NodeDirectory>(ownRecord());
+    DepartureExchange::Options departureOptions { m_settings.nodeName, m_settings.location.region, m_incarnation };
+    m_departures = std::make_unique<DepartureExchange>(
+        departureOptions, *m_relay, *m_directory, m_random(), [this](const UpstreamDeparture& departure) {
+            if (m_upstream.applyDeparture(departure))
+                applyUpstream();
+        });
     m_configuration
         = std::make_unique<ConfigurationDriver<StoreClient>>(m_store.get(), *m_relay, m_random(), configurationHooks(),
             currentInstant(), syncSettings(), m_adapter ? m_adapter->configuration : ConfigurationFormat {});
@@ -207,9 +212,9 @@
     };
     hooks.departures = [this](DepartureNotice&& notice, std::function<void(DepartureReply)> reply) {
         m_task.post([this, notice = std::move(notice), reply = std::move(reply)] {
-            if (!m_directory)
+            if (!m_departures)
                 return;
-            onDepartureNotice(notice);
+            m_departures->onNotice(notice);
             m_node->postToExecutor([reply] { reply({}); });
         });
     };
@@ -641,64 +646,6 @@
     });
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Departures
-//-----------------------------------------------------------------------------
-
-// The acknowledgement of a departure must hold after a restart, and this node has no disk.
-void DirectoryControl::shareDeparture(const UpstreamDeparture& departure)
-{
-    if (m_sharedDeparture == departure)
-        return;
-    m_sharedDeparture = departure;
-    std::vector<std::string> addresses;
-    m_directory->forEachLive([&](const NodeRecord& it) {
-        if (it.location.region == m_settings.location.region && it.name != m_settings.nodeName)
-            addresses.emplace_back(it.relayAddress);
-    });
-    std::vector<std::string> chosen;
-    std::ranges::sample(addresses, std::back_inserter(chosen), departureCopies, m_random);
-    log(LogLevel::Info, "upstream.departure",
-        { { "upstream", departure.instance }, { "started_up_to", departure.startedUpTo },
-            { "copies", chosen.size() } });
-    DepartureNotice notice { m_settings.nodeName, m_incarnation, { departure } };
-    for (const std::string& address : chosen)
-        m_relay->query(
-            address, notice, [](const Result<RelayMessage>&) {}, peerTimeout);
-}
-
-void DirectoryControl::onDepartureNotice(const DepartureNotice& notice)
-{
-    if (notice.node != m_settings.nodeName)
-        return m_departures.record(notice, currentInstant());
-    for (const UpstreamDeparture& departure : notice.departures) {
-        log(LogLevel::Info, "upstream.departure_returned",
-            { { "upstream", departure.instance }, { "started_up_to", departure.startedUpTo } });
-        if (m_upstream.applyDeparture(departure))
-            applyUpstream();
-    }
-}
-
-void DirectoryControl::returnDepartures(Instant now)
-{
-    m_departures.tick(now);
-    if (m_departures.isEmpty())
-        return;
-    m_directory->forEachLive([&](const NodeRecord& peer) {
-        auto unknown = m_departures.unknownTo(peer.name, peer.incarnation);
-        if (unknown.empty() || !m_returningTo.insert(peer.name).second)
-            return;
-        m_relay->query(
-            peer.relayAddress, DepartureNotice { peer.name, peer.incarnation, unknown },
-            [this, name = peer.name, incarnation = peer.incarnation, unknown](const Result<RelayMessage>& result) {
-                m_returningTo.erase(name);
-                if (result && std::holds_alternative<DepartureReply>(result.value()))
-                    m_departures.told(name, incarnation, unknown);
-            },
-            peerTimeout);
-    });
-}
-
 void DirectoryControl::recordFleetSize(Instant now)
 {
     m_burstShare.record(static_cast<uint32_t>(m_directory->liveCount()), now);
@@ -750,7 +697,7 @@
         = m_role == WatchRole::Watcher || m_configuration->isReady() || now - m_startedAt > storeFallbackDelay;
     if (mayReadStore)
         m_configuration->tick();
-    returnDepartures(now);
+    m_departures->tick(now);
     sendNotices(now);
 }
 
@@ -799,7 +746,7 @@
         applyUpstream();
     else
         log(LogLevel::Info, "upstream.departure_unknown", { { "upstream", departure.instance } });
-    shareDeparture(left);
+    m_departures->share(left);
     return boost::outcome_v2::success();
 }
 
@@ -808,7 +755,7 @@
 {
     const UpstreamReport& report = *m_upstream.current();
     if (auto departure = m_upstream.currentDeparture())
-        shareDeparture(*departure);
+        m_departures->share(*departure);
     m_node->setUpstream({ m_settings.nodeName, report.service, report.address, report.slots, report.state,
         report.instance, report.processStartedAt });
     UpstreamRecord record { m_settings.nodeName, report.service, report.slots, report.state, 0, 1 };
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -12,12 +12,12 @@
 
 #include "AdminServer.h"
 #include "ConfigurationDriver.h"
-#include "core/DepartureBook.h"
 #include "core/DirectoryRepair.h"
 #include "core/NodeDirectory.h"
 #include "core/RetryBudget.h"
 #include "core/UpstreamRegistration.h"
 #include "CrashSuspects.h"
+#include "DepartureExchange.h"
 #include "Metrics.h"
 #include "Node.h"
 #include "NodeControl.h"
@@ -83,9 +83,6 @@
     void onReply(const std::string& peer, const Result<RelayMessage>&);
     DirectoryReply onNotice(const DirectoryNotice&);
     void directoryChanged(); // passes the new candidates and peers to the data plane
-    void shareDeparture(const UpstreamDeparture&); // with the peers that return it after a restart of this node
-    void onDepartureNotice(const DepartureNotice&);
-    void returnDepartures(Instant now); // to peers that have restarted
     void recordFleetSize(Instant now);
     void recordNoticeFailure(const std::string& peer); // declares the peer lost after enough failures
     void sendNotices(Instant now);
@@ -121,9 +118,7 @@
     WatchElection m_election;
     std::unique_ptr<ConfigurationDriver<StoreClient>> m_configuration;
     UpstreamRegistration m_upstream;
-    std::optional<UpstreamDeparture> m_sharedDeparture; // the latest one
-    DepartureBook m_departures; // of the peers' upstreams
-    std::set<std::string, std::less<>> m_returningTo; // peers whose reply to returned departures is pending
+    std::unique_ptr<DepartureExchange> m_departures;
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
     uint16_t m_adminPort = 0;
     std::atomic<uint64_t> m_configurationDigest { 0 }; // digest of the configuration; read by the entry workers
