Tell further peers of a departure until enough remember it

Seen (found by reading, shown by a new case): the only peer of a node is down while an upstream deregisters at that node. The peer comes back, the node restarts, and a late heartbeat brings the upstream that has left into use again: orders reach it.

Cause: a departure was sent once, to the peers known at that moment, and their answers were not looked at. A node that knew or reached none of them had no copy for good, and a peer that restarted later lost the copy it had.

Change: DepartureCopies keeps, for each departure that this node acknowledged, which incarnation of which peer has answered that it has it. In the usual case the messages are the same as before.

--- a/src/node/DepartureExchange.cpp
+++ b/src/node/DepartureExchange.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr size_t copies = 16; // peers that remember a departure; enough when most nodes of a region restart
+constexpr Duration tellingPeriod = 1s; // between searches for peers that a departure still has to be sent to
 
 } // namespace
 
@@ -25,23 +25,33 @@
 
 void DepartureExchange::share(const UpstreamDeparture& departure)
 {
-    if (m_shared == departure)
+    Instant now = currentInstant();
+    if (!m_copies.add(departure, now))
         return;
-    m_shared = departure;
-    std::vector<std::string> addresses;
+    size_t told = tellPeers(now);
+    log(LogLevel::Info, "upstream.departure",
+        { { "upstream", departure.instance }, { "started_up_to", departure.startedUpTo }, { "copies", told } });
+}
+
+size_t DepartureExchange::tellPeers(Instant now)
+{
+    m_nextTelling = now + tellingPeriod;
+    std::vector<const NodeRecord*> peers;
     m_directory.forEachLive([&](const NodeRecord& it) {
         if (it.location.region == m_options.region && it.name != m_options.node)
-            addresses.emplace_back(it.relayAddress);
+            peers.push_back(&it);
     });
-    std::vector<std::string> chosen;
-    std::ranges::sample(addresses, std::back_inserter(chosen), copies, m_random);
-    log(LogLevel::Info, "upstream.departure",
-        { { "upstream", departure.instance }, { "started_up_to", departure.startedUpTo },
-            { "copies", chosen.size() } });
-    DepartureNotice notice { m_options.node, m_options.incarnation, { departure } };
-    for (const std::string& address : chosen)
+    auto notices = m_copies.due(peers, m_random);
+    for (const auto& [peer, departures] : notices) {
         m_relay.query(
-            address, notice, [](const Result<RelayMessage>&) {}, m_options.replyTimeout);
+            peer->relayAddress, DepartureNotice { m_options.node, m_options.incarnation, departures },
+            [this, name = peer->name, incarnation = peer->incarnation, departures](const Result<RelayMessage>& result) {
+                bool isStored = result && std::holds_alternative<DepartureReply>(result.value());
+                m_copies.answered(name, incarnation, departures, isStored);
+            },
+            m_options.replyTimeout);
+    }
+    return notices.size();
 }
 
 void DepartureExchange::onNotice(const DepartureNotice& notice)
@@ -57,9 +67,16 @@
 
 void DepartureExchange::tick(Instant now)
 {
+    m_copies.tick(now);
+    if (!m_copies.isEmpty() && now >= m_nextTelling)
+        tellPeers(now);
     m_book.tick(now);
-    if (m_book.isEmpty())
-        return;
+    if (!m_book.isEmpty())
+        returnToRestarted();
+}
+
+void DepartureExchange::returnToRestarted()
+{
     m_directory.forEachLive([&](const NodeRecord& peer) {
         auto unknown = m_book.unknownTo(peer.name, peer.incarnation);
         if (unknown.empty() || !m_returningTo.insert(peer.name).second)
--- a/src/node/DepartureExchange.h
+++ b/src/node/DepartureExchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/DepartureBook.h"
+#include "core/DepartureCopies.h"
 #include "core/NodeDirectory.h"
 #include "RelayClient.h"
 
@@ -24,17 +25,21 @@
     DepartureExchange(Options, RelayClient&, const NodeDirectory&, uint64_t seed,
         std::function<void(const UpstreamDeparture&)> returned);
 
-    void share(const UpstreamDeparture&); // of this node's upstream; does nothing for the one that was shared last
+    void share(const UpstreamDeparture&); // of this node's upstream; does nothing if it is already shared
     void onNotice(const DepartureNotice&);
-    void tick(Instant now); // returns departures to peers that have restarted
+    void tick(Instant now);
 
 private:
+    size_t tellPeers(Instant now); // sends them the departures of this node that lack copies; returns how many it tells
+    void returnToRestarted(); // sends peers that have restarted their departures
+
     Options m_options;
     RelayClient& m_relay;
     const NodeDirectory& m_directory;
     std::mt19937_64 m_random;
     std::function<void(const UpstreamDeparture&)> m_returned;
-    std::optional<UpstreamDeparture> m_shared; // the latest one
+    DepartureCopies m_copies; // departures of this node's upstream
+    Instant m_nextTelling {};
     DepartureBook m_book; // departures of the peers' upstreams
     std::set<std::string, std::less<>> m_returningTo; // peers whose reply to returned departures is pending
 };
--- a/tests/departure_tests.py
+++ b/tests/departure_tests.py
@@ -96,14 +96,40 @@
     return problems + orders_after_late_beats(play, late)
 
 
-def draining_before_restart(play):
-    def drain(play):
-        play.upstream.state = "draining"
-        return play.upstream.beat(play.control())
+def drain(play):
+    play.upstream.state = "draining"
+    return play.upstream.beat(play.control())
+
 
+def draining_before_restart(play):
     return departure_before_restart(play, drain)
 
 
+def departure_while_the_peers_are_away(play):
+    play.second.kill()
+    time.sleep(0.3)
+    late = play.late_beats()
+    problems = expect(play.upstream.leave(play.control()) == 200, "not acknowledged")
+    time.sleep(DRAIN_S)
+    play.second.start(bootstrap=False)
+    play.second.wait_ready()
+    time.sleep(3)  # the first machine finds the second one again and tells it within this time
+    play.restart()
+    return problems + orders_after_late_beats(play, late)
+
+
+def killed_at_the_acknowledgement(play, leave=lambda play: play.upstream.leave(play.control())):
+    late = play.late_beats()
+    problems = expect(leave(play) == 200, "not acknowledged")
+    play.restart()
+    time.sleep(DRAIN_S)
+    return problems + orders_after_late_beats(play, late)
+
+
+def killed_when_told_of_draining(play):
+    return killed_at_the_acknowledgement(play, drain)
+
+
 def late_departure_of_an_earlier_start(play):
     upstream = play.upstream
     earlier = upstream.born
@@ -130,7 +156,9 @@
     bench.Machine = Machine
     problems = []
     threads = [threading.Thread(target=run, args=(case, problems)) for case in (
-        departure_after_restart, departure_before_restart, draining_before_restart, late_departure_of_an_earlier_start)]
+        departure_after_restart, departure_before_restart, draining_before_restart,
+        departure_while_the_peers_are_away, killed_at_the_acknowledgement, killed_when_told_of_draining,
+        late_departure_of_an_earlier_start)]
     for it in threads:
         it.start()
     for it in threads:
