--- a/src/node/DepartureExchange.cpp
+++ b/src/node/DepartureExchange.cpp
@@ -45,9 +45,10 @@
     for (const auto& [peer, departures] : notices) {
         m_relay.query(
             peer->relayAddress, DepartureNotice { m_options.node, m_options.incarnation, departures },
-            [this, name = peer->name, incarnation = peer->incarnation, departures](const Result<RelayMessage>& result) {
+            [this, name = peer->name, incarnation = peer->incarnation, sent = departures](
+                const Result<RelayMessage>& result) {
                 bool isStored = result && std::holds_alternative<DepartureReply>(result.value());
-                m_copies.answered(name, incarnation, departures, isStored);
+                m_copies.answered(name, incarnation, sent, isStored);
             },
             m_options.replyTimeout);
     }
