Log how a bad response of an upstream arrived

Change: upstream.bad_response and upstream.extra_bytes, one line for each such response, with the request's id as the caller knows it. Nothing is decided differently.

--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -424,8 +424,11 @@
 
 void ExecutorJob::onResponseEnd()
 {
+    logExtraBytes();
     if (auto reason = m_headSent ? std::nullopt : responseRejectionReason()) {
         bool hasRun = *reason != RefusalReason::UpstreamShed;
+        if (hasRun)
+            logBadResponse(*reason, { ErrorCode::Invalid, "executor.response", m_upstream->endpoint.address, "" });
         if (hasRun)
             m_call->dropConnection();
         releaseSlot(hasRun ? SampleKind::Wrong : SampleKind::Shed, false);
@@ -468,6 +471,8 @@
     bool isClosed
         = failure.reason == RefusalReason::UpstreamCrashed || failure.reason == RefusalReason::UpstreamTruncated;
     releaseSlot(std::nullopt, false);
+    if (failure.reason == RefusalReason::UpstreamTruncated || failure.reason == RefusalReason::UpstreamInvalid)
+        logBadResponse(failure.reason, failure.error);
     if (!isClosed || !m_executor.m_hooks.crashes.closed) {
         finishFailure(failure, length, false);
         return;
@@ -547,6 +552,37 @@
             { "bytes", m_responseBytes }, { "elapsed_ms", elapsed.count() } });
 }
 
+// The id that the caller knows, which entries log too; without one the id between the nodes.
+std::string ExecutorJob::publicId() const
+{
+    const char* name = m_executor.m_hooks.headers.requestId;
+    const Header* id = name ? findHeader(head().headers, name) : nullptr;
+    return id ? id->value : toString(head().requestId);
+}
+
+void ExecutorJob::logBadResponse(RefusalReason reason, const Error& error) const
+{
+    const ResponseFacts& facts = m_call->facts();
+    log(LogLevel::Warning, "upstream.bad_response",
+        { { "request", publicId() }, { "upstream", m_upstream->endpoint.name }, { "process", m_process },
+            { "reason", toString(reason) }, { "step", error.step }, { "detail", error.detail },
+            { "status", m_response.status }, { "framing", toString(facts.framing) },
+            { "stated_bytes", facts.statedBytes }, { "bytes", facts.receivedBytes },
+            { "kept_connection", m_call->isOnKeptConnection() } });
+}
+
+void ExecutorJob::logExtraBytes() const
+{
+    const ResponseFacts& facts = m_call->facts();
+    if (!facts.hasExtraBytes)
+        return;
+    log(LogLevel::Warning, "upstream.extra_bytes",
+        { { "request", publicId() }, { "upstream", m_upstream->endpoint.name }, { "process", m_process },
+            { "status", m_response.status }, { "framing", toString(facts.framing) },
+            { "stated_bytes", facts.statedBytes }, { "bytes", facts.receivedBytes },
+            { "kept_connection", m_call->isOnKeptConnection() } });
+}
+
 void ExecutorJob::releaseSlot(std::optional<SampleKind> kind, bool completed)
 {
     Instant now = currentInstant();
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -44,7 +44,10 @@
     void onCancelled();
     bool isRunning() const { return m_call && m_call->isStarted(); } // the upstream may have received the request
     Instant giveUpAt() const; // latest end of the request, whatever the upstream does
+    std::string publicId() const; // request id as the caller knows it
     void logUnanswered(Instant now) const;
+    void logBadResponse(RefusalReason, const Error&) const; // the response cannot be passed on
+    void logExtraBytes() const; // more bytes came after the response
     void recordSignals(); // reads what the response says about its upstream
     bool hasForeignId() const; // the response names another request
     bool lacksId() const; // the response names no request, although this one has an id
--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -34,6 +34,20 @@
     return soup_message_headers_get_encoding(soup_message_get_response_headers(message)) == SOUP_ENCODING_CHUNKED;
 }
 
+BodyFraming framingOf(SoupMessage* message)
+{
+    if (hasNoBody(message))
+        return BodyFraming::None;
+    switch (soup_message_headers_get_encoding(soup_message_get_response_headers(message))) {
+    case SOUP_ENCODING_CONTENT_LENGTH:
+        return BodyFraming::Length;
+    case SOUP_ENCODING_CHUNKED:
+        return BodyFraming::Chunked;
+    default:
+        return BodyFraming::UntilClose;
+    }
+}
+
 // libsoup 3.2.3 takes the end of the connection within the head for the end of the head. Nothing follows such a head,
 // and the peer has closed; a whole response without a body leaves the connection open or announces that it closes.
 bool isHeadCut(SoupMessage* message, GSocket* socket)
@@ -57,6 +71,12 @@
 
 } // namespace
 
+std::string_view toString(BodyFraming framing)
+{
+    constexpr std::array<std::string_view, 4> names { "none", "length", "chunked", "until-close" };
+    return names[static_cast<size_t>(framing)];
+}
+
 void disableGlibHelpers()
 {
     g_setenv("GIO_USE_VFS", "local", TRUE);
@@ -197,6 +217,8 @@
         return;
     }
     m_headReceived = true;
+    m_facts.framing = framingOf(m_message.get());
+    m_facts.statedBytes = declaredLength(m_message.get());
     if (!m_allowsCloseDelimitedResponse && !hasVerifiableEnd(m_message.get())) {
         fail({ { ErrorCode::Invalid, "upstream.head", m_peer, "the end of the response body cannot be verified" },
             RefusalReason::UpstreamInvalid, true });
@@ -239,6 +261,7 @@
     auto handlers = m_handlers;
     if (n > 0) {
         m_hasBody = true;
+        m_facts.receivedBytes += static_cast<uint64_t>(n);
         m_buffer.resize(static_cast<size_t>(n));
         handlers->chunk(std::exchange(m_buffer, {}));
         return;
@@ -255,6 +278,7 @@
         return;
     }
     m_done = true;
+    m_facts.hasExtraBytes = m_facts.framing != BodyFraming::UntilClose && m_socket && hasInput(m_socket.get());
     release();
     handlers->end();
 }
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -29,6 +29,19 @@
     bool started = false; // true when a byte of the request may have reached the upstream
 };
 
+// How the end of a message body is told (RFC 9112, section 6.3).
+enum class BodyFraming : uint8_t { None, Length, Chunked, UntilClose };
+
+std::string_view toString(BodyFraming);
+
+// How a response arrived, for logs.
+struct ResponseFacts {
+    BodyFraming framing = BodyFraming::None;
+    int64_t statedBytes = -1; // Content-Length; -1: none
+    uint64_t receivedBytes = 0; // of the body
+    bool hasExtraBytes = false; // more bytes followed its end
+};
+
 // Sockets of a session by libsoup's connection id. libsoup exposes the socket of a connection only while it connects,
 // so the sockets are recorded for later requests on the same connection.
 class ConnectionSockets {
@@ -64,6 +77,7 @@
     // The connection carried another request before, so what it delivers may be left over from that one.
     bool isOnKeptConnection() const { return m_isOnKeptConnection; }
     Duration serviceTime() const; // since the request was started; 0 before
+    const ResponseFacts& facts() const { return m_facts; }
 
 private:
     friend class UpstreamClient;
@@ -94,6 +108,7 @@
     std::string m_peer;
     std::string m_buffer;
     Instant m_startedAt {};
+    ResponseFacts m_facts;
     uint32_t m_interimResponses = 0;
     bool m_started = false;
     bool m_isOnKeptConnection = false;
