Show that a body broken off before a second response looks whole

The HTTP library reads a line that is no chunk size as size 0, the end of the body, so a response in chunks that is broken off and followed by a second one on its connection ends there, and the node writes the length of what it has.

--- /dev/null
+++ b/tests/SpoiledResponseTests.cpp
@@ -0,0 +1,97 @@
+// Upstreams that break off, spoil, repeat and delay their responses on one connection: whatever reaches the caller as a
+// whole response is the upstream's whole one.
+#define BOOST_TEST_MODULE SpoiledResponse
+#include "RawUpstream.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Gooseberrymill;
+using namespace Gooseberrymill::Testing;
+
+namespace {
+
+constexpr size_t smallBody = 3000; // bytes; collected before the head is passed on
+constexpr size_t largeBody = 200'000; // bytes; streamed
+
+std::string chunk(std::string_view bytes) { return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes); }
+
+std::string chunkedHead(const std::string& id)
+{
+    return headOf("200 OK", id, "Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
+std::string wholeResponse(const std::string& id, const std::string& body)
+{
+    return chunkedHead(id) + chunk(body) + "0\r\n\r\n";
+}
+
+// A body that shows whose it is.
+std::string bodyOf(const std::string& id, size_t size)
+{
+    std::string line = id + "\n";
+    std::string body;
+    while (body.size() < size)
+        body += line;
+    body.resize(size);
+    return body;
+}
+
+// Sends requests that the upstream answers with what `spoil` makes of their id, and counts short bodies that look
+// whole.
+size_t shortBodies(size_t size, const std::function<RawResponse(const std::string& id)>& spoil)
+{
+    constexpr size_t requests = 10;
+    RawUpstream raw([&](const std::string& head) { return spoil(idOf(head)); });
+    MeshFleet mesh(raw, 1, 1s);
+    size_t found = 0;
+    for (size_t i = 0; i < requests; ++i) {
+        std::string id = fmt::format("id-{}", i);
+        auto response = mesh.call("GET", "/read/a", id);
+        bool looksWhole = response.status == 200 && response.complete;
+        found += looksWhole && response.body != bodyOf(id, size);
+    }
+    return found;
+}
+
+} // namespace
+
+// Guards against a broken-off response in chunks that looks whole because a second response follows on its connection.
+BOOST_AUTO_TEST_CASE(chunksBrokenOffBeforeASecondResponseAreNotWhole)
+{
+    for (size_t size : { smallBody, largeBody }) {
+        BOOST_TEST_CONTEXT(size << " bytes")
+        {
+            BOOST_TEST(shortBodies(size, [&](const std::string& id) {
+                std::string body = bodyOf(id, size);
+                return RawResponse { chunkedHead(id) + chunk(body.substr(0, size / 2)) + wholeResponse(id, body) };
+            }) == 0U);
+        }
+    }
+}
+
+// Guards against a chunk size that is no number, or a chunk that is longer than its size, taken for the end of the
+// body.
+BOOST_AUTO_TEST_CASE(spoiledChunksAreNotTheEndOfTheBody)
+{
+    const std::vector<std::string> spoiled { "zz\r\n", "\r\n", "-5\r\n", "+5\r\n", " 5\r\n", "0x5\r\n",
+        "11111111111111111\r\n", "5 5\r\n", "\n" };
+    for (size_t size : { smallBody, largeBody }) {
+        for (const std::string& it : spoiled) {
+            BOOST_TEST_CONTEXT(size << " bytes, " << it)
+            {
+                BOOST_TEST(shortBodies(size, [&](const std::string& id) {
+                    std::string body = bodyOf(id, size);
+                    return RawResponse { chunkedHead(id) + chunk(body.substr(0, size / 2)) + it
+                        + "hello\r\n0\r\n\r\n" };
+                }) == 0U);
+            }
+        }
+        BOOST_TEST_CONTEXT(size << " bytes, a chunk longer than its size")
+        {
+            BOOST_TEST(shortBodies(size, [&](const std::string& id) {
+                std::string body = bodyOf(id, size);
+                return RawResponse { chunkedHead(id) + fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", size / 2, body) };
+            }) == 0U);
+        }
+    }
+}
