Judge a response by its head, before any of its body

Cause: whose response it is, whether it is signed and whether it says that the request was not run were looked at once the whole response had been collected.

Change: ExecutorJob decides at the head. A response that is not this request's ends the call and its connection; one that rejects the request is read to its end and not passed on. Two ids or two signatures in one head, as when another head runs into it, are no response to any request.

Result: lateSecondResponseIsNeverAnotherRequests and largeResponseIsJudgedByItsHead failed before (the second at 65537 bytes and 4 MiB, with length and in chunks: 200 with the first one's id), pass now; sizes of 1 byte to 64 KiB held before too.

--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -311,7 +311,20 @@
 {
     m_response = std::move(response);
     recordSignals();
-    readNext();
+    m_rejection = responseRejectionReason();
+    if (m_rejection && *m_rejection != RefusalReason::UpstreamShed)
+        rejectResponse();
+    else
+        readNext();
+}
+
+// Nothing of the body is passed on, and the connection is of no further use.
+void ExecutorJob::rejectResponse()
+{
+    logBadResponse(*m_rejection, { ErrorCode::Invalid, "executor.response", m_upstream->endpoint.address, "" });
+    m_call->cancel();
+    releaseSlot(SampleKind::Wrong, false);
+    refuse(*m_rejection, "executor.response", {}, true);
 }
 
 // A response that may belong to another request, or comes from another process, says nothing about this upstream.
@@ -338,6 +351,13 @@
     return sentId && echoedId && echoedId->value != sentId->value;
 }
 
+// A head into which another one runs names two requests.
+bool ExecutorJob::isRepeated(const char* name) const
+{
+    auto isNamed = [&](const Header& header) { return isHeaderNamed(header, name); };
+    return name && std::ranges::count_if(m_response.headers, isNamed) > 1;
+}
+
 bool ExecutorJob::lacksId() const
 {
     const char* name = m_executor.m_hooks.headers.requestId;
@@ -356,7 +376,8 @@
 void ExecutorJob::onResponseChunk(std::string&& bytes)
 {
     m_responseBytes += bytes.size();
-    if (m_callerGone && m_responseBytes > maxUnreadResponseBytes) {
+    bool isUnread = m_callerGone || m_rejection;
+    if (isUnread && m_responseBytes > maxUnreadResponseBytes) {
         abandonResponse();
         return;
     }
@@ -366,7 +387,7 @@
         m_storedResponse.reset();
     if (m_headSent) {
         m_exchange->sendChunk(std::move(bytes));
-    } else if (!m_callerGone) {
+    } else if (!isUnread) {
         m_responseBuffer += bytes;
         if (m_responseBuffer.size() > maxBufferedResponseBytes)
             streamHead();
@@ -374,12 +395,12 @@
     readNext();
 }
 
-// The caller has gone, and the head has shown that the upstream ran the request.
+// The head has shown whether the upstream ran the request.
 void ExecutorJob::abandonResponse()
 {
     m_call->cancel();
     releaseSlot(SampleKind::Wrong, false);
-    refuse(RefusalReason::UpstreamInvalid, "executor.response", {}, true);
+    refuse(m_rejection.value_or(RefusalReason::UpstreamInvalid), "executor.response", {}, !m_rejection);
 }
 
 void ExecutorJob::streamHead()
@@ -404,7 +425,8 @@
     constexpr uint16_t firstSuccess = 200;
     constexpr uint16_t firstRedirect = 300;
     const HeaderProfile& profile = m_executor.m_hooks.headers;
-    if (hasForeignId())
+    bool isAmbiguous = isRepeated(profile.requestId) || isRepeated(profile.signature);
+    if (isAmbiguous || hasForeignId())
         return RefusalReason::UpstreamInvalid;
     bool hasId = profile.requestId && findHeader(m_response.headers, profile.requestId);
     // The address is served by another process than the one that the request was meant for; it did not run the request.
@@ -425,14 +447,9 @@
 void ExecutorJob::onResponseEnd()
 {
     logExtraBytes();
-    if (auto reason = m_headSent ? std::nullopt : responseRejectionReason()) {
-        bool hasRun = *reason != RefusalReason::UpstreamShed;
-        if (hasRun)
-            logBadResponse(*reason, { ErrorCode::Invalid, "executor.response", m_upstream->endpoint.address, "" });
-        if (hasRun)
-            m_call->dropConnection();
-        releaseSlot(hasRun ? SampleKind::Wrong : SampleKind::Shed, false);
-        refuse(*reason, "executor.response", {}, hasRun);
+    if (m_rejection) {
+        releaseSlot(SampleKind::Shed, false);
+        refuse(*m_rejection, "executor.response");
         return;
     }
     releaseSlot(classifyResponse(), true);
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -50,8 +50,10 @@
     void logExtraBytes() const; // more bytes came after the response
     void recordSignals(); // reads what the response says about its upstream
     bool hasForeignId() const; // the response names another request
+    bool isRepeated(const char* header) const; // the response has it more than once
     bool lacksId() const; // the response names no request, although this one has an id
     void sendNotice(); // tells the entry what the upstream asks of its callers
+    void rejectResponse(); // which is not this request's; judged by its head
     void abandonResponse(); // stops reading a response without end
     void streamHead();
     void readNext(); // reads more of the response when the entry can take it
@@ -86,6 +88,7 @@
     bool m_callerGone = false; // the entry cancelled the request
     bool m_ended = false;
     ResponseHead m_response;
+    std::optional<RefusalReason> m_rejection; // why the response is not passed on; known from its head
     std::string m_responseBuffer; // response body received before the head is sent to the entry
     std::shared_ptr<StoredResponse> m_storedResponse; // copy for the operation gate; null when too large or not needed
     uint64_t m_responseBytes = 0;
--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -382,8 +382,8 @@
         return false;
     m_done = true;
     m_facts.hasExtraBytes = hasExtraBytes();
-    handlers->end();
     release();
+    handlers->end();
     return false;
 }
 
@@ -429,12 +429,6 @@
     close();
 }
 
-void UpstreamCall::dropConnection()
-{
-    if (m_socket)
-        g_socket_close(m_socket.get(), nullptr);
-}
-
 Duration UpstreamCall::serviceTime() const { return m_started ? currentInstant() - m_startedAt : Duration {}; }
 
 //-----------------------------------------------------------------------------
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -82,7 +82,6 @@
     bool isBodyWritable() const { return bufferedBytes() < bodyBufferBytes; }
     void readMore(); // requests the next part of the response body
     void cancel(); // closes the connection
-    void dropConnection(); // no later request uses it
     bool isStarted() const { return m_started; } // the request is being written
     // The connection carried another request before, so what it delivers may be left over from that one.
     bool isOnKeptConnection() const { return m_isOnKeptConnection; }
--- a/tests/SpoiledResponseTests.cpp
+++ b/tests/SpoiledResponseTests.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr size_t smallBody = 3000; // bytes; collected before the head is passed on
+constexpr size_t bufferedBytes = 64 << 10; // largest body that is collected
 constexpr size_t largeBody = 200'000; // bytes; streamed
 
 std::string chunk(std::string_view bytes) { return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes); }
@@ -36,6 +37,14 @@
     return body;
 }
 
+std::string responseOf(const std::string& id, size_t size, bool isChunked)
+{
+    std::string body = bodyOf(id, size);
+    if (isChunked)
+        return wholeResponse(id, body);
+    return headOf("200 OK", id, fmt::format("Response-Signature: s\r\nContent-Length: {}\r\n\r\n{}", size, body));
+}
+
 // Sends requests that the upstream answers with what `spoil` makes of their id, and counts short bodies that look
 // whole.
 size_t shortBodies(size_t size, const std::function<RawResponse(const std::string& id)>& spoil)
@@ -95,3 +104,50 @@
         }
     }
 }
+
+// Guards against a late second response that is given to the next request on its connection.
+BOOST_AUTO_TEST_CASE(lateSecondResponseIsNeverAnotherRequests)
+{
+    constexpr size_t hugeBody = 4 << 20;
+    for (size_t size : { size_t(1), bufferedBytes - 1, bufferedBytes, bufferedBytes + 1, hugeBody }) {
+        for (bool isChunked : { false, true }) {
+            RawUpstream raw([&](const std::string& head) {
+                std::string own = responseOf(idOf(head), size, isChunked);
+                return RawResponse { idOf(head) == "second" ? responseOf("first", size, isChunked) + own : own };
+            });
+            MeshFleet mesh(raw);
+            BOOST_TEST_CONTEXT(size << " bytes, in chunks: " << isChunked)
+            {
+                BOOST_TEST(mesh.call("GET", "/read/a", "first").body == bodyOf("first", size));
+                auto second = mesh.call("GET", "/read/b", "second");
+                BOOST_TEST(second.status == 502);
+                BOOST_TEST(second.header(HeaderName::outcome) == "unknown");
+                BOOST_TEST(second.header("Attempt-Id") != "first");
+                BOOST_TEST(mesh.call("GET", "/read/c", "third").body == bodyOf("third", size));
+            }
+        }
+    }
+}
+
+// Guards against a large response that is passed on although its head shows that it must not be.
+BOOST_AUTO_TEST_CASE(largeResponseIsJudgedByItsHead)
+{
+    const std::string body(largeBody, 'x');
+    const std::string length = fmt::format("Content-Length: {}\r\n\r\n", largeBody);
+    RawUpstream raw([&](const std::string& head) {
+        bool isRejection = idOf(head) == "rejected";
+        return RawResponse { headOf(isRejection ? "503 Service Unavailable" : "200 OK", idOf(head),
+                                 (isRejection ? "Not-Executed: 1\r\n" : "") + length)
+            + body };
+    });
+    MeshFleet mesh(raw);
+    for (std::string target : { "/read/a", "/order/a" }) {
+        const char* method = target == "/read/a" ? "GET" : "POST";
+        auto withoutSignature = mesh.call(method, target, "unsigned");
+        BOOST_TEST(withoutSignature.status == 502);
+        BOOST_TEST(withoutSignature.header(HeaderName::outcome) == "unknown");
+        auto rejected = mesh.call(method, target, "rejected");
+        BOOST_TEST(rejected.status == 503);
+        BOOST_TEST(rejected.header(HeaderName::outcome) == "not-run");
+    }
+}
