Test that a close behind the last chunk cuts nothing

Change: closeAfterTheLastChunkCutsNothing, on both sides of 64 KiB, with and without trailers, announced or not; a close before the last chunk is a cut in each.

--- a/tests/SpoiledResponseTests.cpp
+++ b/tests/SpoiledResponseTests.cpp
@@ -151,3 +151,34 @@
         BOOST_TEST(rejected.header(HeaderName::outcome) == "not-run");
     }
 }
+
+// Guards against cutting a whole response in chunks because its connection closes behind it.
+BOOST_AUTO_TEST_CASE(closeAfterTheLastChunkCutsNothing)
+{
+    for (size_t size : { smallBody, bufferedBytes, bufferedBytes + 1, largeBody }) {
+        for (std::string_view end : { "0\r\n\r\n", "0\r\nX-Trailer: 1\r\n\r\n" }) {
+            for (bool announces : { true, false }) {
+                RawUpstream raw([&](const std::string& head) {
+                    std::string id = idOf(head);
+                    std::string start = headOf("200 OK", id,
+                        fmt::format("Response-Signature: s\r\nTransfer-Encoding: chunked\r\n{}\r\n",
+                            announces ? "Connection: close\r\n" : ""));
+                    bool isCut = id == "cut";
+                    return RawResponse { start + chunk(bodyOf(id, size)) + std::string(isCut ? "" : end), true };
+                });
+                MeshFleet mesh(raw);
+                BOOST_TEST_CONTEXT(size << " bytes, close announced: " << announces << ", " << end)
+                {
+                    for (int i = 0; i < 3; ++i) {
+                        auto whole = mesh.call("POST", "/order/a", "whole");
+                        BOOST_TEST(whole.status == 200);
+                        BOOST_TEST(whole.complete);
+                        BOOST_TEST((whole.body == bodyOf("whole", size)));
+                    }
+                    auto cut = mesh.call("POST", "/order/a", "cut");
+                    BOOST_TEST((cut.status != 200 || !cut.complete));
+                }
+            }
+        }
+    }
+}
