Refuse a response of known length that other bytes follow

Cause: a response with a Content-Length that is broken off and followed by a second one on its connection is made up with the first bytes of the second. Its length is right and its body is not. The sign of it is what is left over behind it.

Change: such a response ends the call as upstream-invalid before its last part is passed on. Bytes that follow a body in chunks only end the connection, since chunks would not fit. randomlySpoiledResponsesAreNeverMixedOrShort draws responses that are broken off, spoiled, repeated and delayed in every framing; GM_SPOIL_SEED gives other seeds.

A whole response of known length that is written twice at once is refused too: it cannot be told from the other.

--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -314,6 +314,17 @@
     }
     if (const FramingError* error = m_reader.error())
         fail(*error);
+    else if (isLengthUncertain()) {
+        fail({ { ErrorCode::Invalid, "upstream.read", m_address, "bytes follow the response, so its end is uncertain" },
+            RefusalReason::UpstreamInvalid, true });
+    }
+}
+
+// A length says how much comes, not whose it is: when a response is broken off and another one follows, the length is
+// made up with bytes of the other one, and the rest of that one is left over. Chunks do not fit then.
+bool UpstreamCall::isLengthUncertain() const
+{
+    return m_reader.isComplete() && m_reader.head()->framing == BodyFraming::Length && hasExtraBytes();
 }
 
 // An error of a socket is reported once, to the reader or to the writer. What comes after it is not the end of a body.
--- a/src/node/UpstreamClient.h
+++ b/src/node/UpstreamClient.h
@@ -115,6 +115,7 @@
     bool deliverNext(); // false: nothing to deliver
     void deliverHead(const MessageHead&);
     bool hasExtraBytes() const; // that follow the response
+    bool isLengthUncertain() const;
     void release(); // keeps the connection for a later request, or closes it
 
     void fail(const FramingError&);
--- a/tests/RawUpstream.h
+++ b/tests/RawUpstream.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node/PlatformAdapter.h"
+#include "SpoiledResponses.h"
 #include "TestFleet.h"
 
 #include <thread>
@@ -15,8 +16,19 @@
     bool closes = false; // after the bytes
     bool isEndless = false; // the bytes are repeated until the peer closes
     std::string repeated {}; // written after the bytes until the peer closes
+    std::vector<ResponsePiece> later {}; // written after the bytes
+    bool resets = false; // closes with a reset
 };
 
+inline RawResponse rawResponse(SpoiledResponse response)
+{
+    RawResponse result;
+    result.closes = response.closes;
+    result.resets = response.resets;
+    result.later = std::move(response.pieces);
+    return result;
+}
+
 // An upstream that answers each request with given bytes. `respond` gets the head of the request.
 class RawUpstream {
 public:
@@ -75,8 +87,11 @@
             ++m_requests;
             RawResponse response = m_respond(input.substr(0, end));
             input.clear();
-            if (!write(socket, response) || response.closes)
+            if (!write(socket, response) || !writeLater(socket, response) || response.closes) {
+                if (response.resets)
+                    closeWithReset(socket);
                 break;
+            }
             if (response.repeated.empty())
                 continue;
             ++m_openEndlessResponses;
@@ -89,9 +104,21 @@
         --m_openConnections;
     }
 
+    bool writeLater(GSocket* socket, const RawResponse& response)
+    {
+        for (const ResponsePiece& it : response.later) {
+            std::this_thread::sleep_for(it.delay);
+            if (!write(socket, { it.bytes }))
+                return false;
+        }
+        return true;
+    }
+
     bool write(GSocket* socket, const RawResponse& response)
     {
         std::string_view rest = response.bytes;
+        if (rest.empty())
+            return true;
         do {
             if (rest.empty())
                 rest = response.bytes;
--- a/tests/SpoiledResponseTests.cpp
+++ b/tests/SpoiledResponseTests.cpp
@@ -4,6 +4,7 @@
 #include "RawUpstream.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/ranges.h>
 
 using namespace Gooseberrymill;
 using namespace Gooseberrymill::Testing;
@@ -62,6 +63,29 @@
     return found;
 }
 
+// The same for each seed and id.
+SpoiledResponse drawResponse(uint64_t seed, const std::string& id)
+{
+    const std::array<size_t, 7> sizes { 1, 500, smallBody, bufferedBytes - 1, bufferedBytes, bufferedBytes + 1,
+        largeBody };
+    uint64_t own = seed * 1'000'003 + std::hash<std::string>()(id);
+    size_t size = sizes[own % sizes.size()];
+    std::string headers = fmt::format("Attempt-Id: {}\r\nX-Body-Bytes: {}\r\nResponse-Signature: s\r\n", id, size);
+    return ResponseSpoiler(own, headers, bodyOf(id, size)).draw();
+}
+
+// What is wrong with a response that looks whole; empty: nothing.
+std::string problemOf(const CallerResponse& response, const std::string& id)
+{
+    if (response.status != 200 || !response.complete)
+        return "";
+    if (response.header("Attempt-Id") != id)
+        return fmt::format("{} got the response to {}", id, response.header("Attempt-Id"));
+    std::string stated = response.header("X-Body-Bytes");
+    bool isOwn = !stated.empty() && response.body == bodyOf(id, std::stoul(stated));
+    return isOwn ? "" : fmt::format("{} got {} of {} bytes, or others", id, response.body.size(), stated);
+}
+
 } // namespace
 
 // Guards against a broken-off response in chunks that looks whole because a second response follows on its connection.
@@ -152,6 +176,42 @@
     }
 }
 
+// Guards against any mixture of breaking off, spoiling, repeating and delaying after which a wrong response looks
+// whole.
+BOOST_AUTO_TEST_CASE(randomlySpoiledResponsesAreNeverMixedOrShort)
+{
+    constexpr size_t callers = 4;
+    constexpr size_t requests = 60; // of each caller
+    const char* text = std::getenv("GM_SPOIL_SEED");
+    uint64_t first = text ? std::stoull(text) : 1;
+    for (uint64_t seed = first; seed < first + 3; ++seed) {
+        RawUpstream raw([&](const std::string& head) { return rawResponse(drawResponse(seed, idOf(head))); });
+        MeshFleet mesh(raw, 1, 1s);
+        std::atomic<size_t> served { 0 };
+        std::mutex mutex;
+        std::vector<std::string> problems;
+        auto call = [&](size_t caller) {
+            for (size_t i = 0; i < requests; ++i) {
+                std::string id = fmt::format("{}-{}-{}", seed, caller, i);
+                auto response = i % 3 ? mesh.call("GET", "/read/a", id) : mesh.call("POST", "/order/a", id);
+                served += response.status == 200 && response.complete;
+                std::string problem = problemOf(response, id);
+                std::lock_guard lock(mutex);
+                if (!problem.empty())
+                    problems.push_back(problem);
+            }
+        };
+        std::vector<std::thread> threads;
+        for (size_t i = 0; i < callers; ++i)
+            threads.emplace_back(call, i);
+        for (std::thread& it : threads)
+            it.join();
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << served << " of " << callers * requests << " served");
+        BOOST_TEST(problems.empty(), "seed " << seed << ": " << fmt::format("{}", fmt::join(problems, "; ")));
+        BOOST_TEST(served > callers * requests / 5);
+    }
+}
+
 // Guards against cutting a whole response in chunks because its connection closes behind it.
 BOOST_AUTO_TEST_CASE(closeAfterTheLastChunkCutsNothing)
 {
