Soak with upstreams that spoil their responses; cuts between the nodes and resets

Change: ResponseSpoiler also drives the stand-in upstream of the soak; each response there states its size, and the check of each caller compares it. Its draws have a generator of their own, so a seed draws the other faults as before. Two tests of one connection: cut between the nodes at random, and reset while the request is written.

--- a/tests/FaultSoakProcessTests.cpp
+++ b/tests/FaultSoakProcessTests.cpp
@@ -1,7 +1,7 @@
 // Soak of the real programs under random faults from outside: signals to the processes, faults of the paths between
 // nodes and of the store, new configurations, in overlapping series, while some upstreams name a rate limit and others
-// fall mute. Callers keep their connections open and check what they get while it runs; what upstreams saw is checked
-// at the end.
+// fall mute or spoil their responses. Callers keep their connections open and check what they get while it runs; what
+// upstreams saw is checked at the end.
 //
 //   FaultSoakProcessTests                             seeds that failed once, and one more
 //   GM_SOAK_SEED=100 GM_SOAK_COUNT=50 GM_SOAK_SECONDS=20 FaultSoakProcessTests
@@ -101,13 +101,14 @@
 // Faults of one run, drawn from a seed. Each ends by itself; several overlap.
 class Faults {
 public:
-    // `unlimited`: upstreams that name no rate limit and may fall mute.
+    // `unlimited`: upstreams that name no rate limit, may fall mute and may spoil their responses.
     Faults(Fleet& fleet, std::vector<std::unique_ptr<FaultProxy>>& paths, const std::array<size_t, 2>& unlimited,
         uint64_t seed)
         : m_fleet(fleet)
         , m_paths(paths)
         , m_unlimited(unlimited)
         , m_random(seed)
+        , m_spoilRandom(seed)
     {
     }
 
@@ -168,6 +169,8 @@
 
     void begin()
     {
+        if (m_spoilRandom() % 4 == 0)
+            spoilResponses(m_unlimited[m_spoilRandom() % m_unlimited.size()], 200 + m_spoilRandom() % 1800);
         size_t i = m_random() % m_fleet.size();
         uint64_t millis = 200 + m_random() % 1800;
         switch (m_random() % 8) {
@@ -250,6 +253,14 @@
         after(millis, [this, i] { m_fleet.setUpstreamFault(i, ""); });
     }
 
+    // The upstream breaks off, spoils and repeats its responses.
+    void spoilResponses(size_t i, uint64_t millis)
+    {
+        note(fmt::format("upstream {} spoils responses {} ms", i, millis));
+        m_fleet.setUpstreamFault(i, fmt::format("fault=spoil&seed={}", m_spoilRandom() % 1000));
+        after(millis, [this, i] { m_fleet.setUpstreamFault(i, ""); });
+    }
+
     void failStore(uint64_t millis)
     {
         const char* how = m_random() % 2 ? "refuse" : "hang";
@@ -281,6 +292,7 @@
     std::vector<std::unique_ptr<FaultProxy>>& m_paths;
     std::array<size_t, 2> m_unlimited;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_spoilRandom; // of its own, so that a seed draws the same other faults as before it came
     std::vector<Ending> m_endings;
     std::array<bool, nodeCount> m_isDown {};
     int m_versions = 0;
@@ -408,6 +420,10 @@
         BOOST_TEST(runs <= 1U, it.target << " ran " << runs << " times; " << context);
         bool claimsNotRun = response.complete && (response.status == 503 || outcomeOf(response) == "not-run");
         BOOST_TEST(!(claimsNotRun && runs), it.target << " ran though refused: " << describe(response) << context);
+        std::string stated = response.header("Stand-In-Bytes");
+        bool isWhole = stated.empty() || response.body.size() == std::stoull(stated);
+        BOOST_TEST((response.status != 200 || !response.complete || isWhole),
+            it.target << " got " << response.body.size() << " of " << stated << " bytes; " << context);
         bool isOwn = response.body.find(it.target + " ") != std::string::npos;
         BOOST_TEST((response.status != 200 || !response.complete || isOwn),
             it.target << " got another answer: " << describe(response) << context);
--- a/tests/SpoiledResponseTests.cpp
+++ b/tests/SpoiledResponseTests.cpp
@@ -1,6 +1,7 @@
 // Upstreams that break off, spoil, repeat and delay their responses on one connection: whatever reaches the caller as a
 // whole response is the upstream's whole one.
 #define BOOST_TEST_MODULE SpoiledResponse
+#include "FaultProxy.h"
 #include "RawUpstream.h"
 
 #include <boost/test/unit_test.hpp>
@@ -242,3 +243,71 @@
         }
     }
 }
+
+// Guards against the end of a relayed response that is believed although the connection between the nodes broke.
+BOOST_AUTO_TEST_CASE(responseCutBetweenTheNodesIsNeverWhole)
+{
+    constexpr size_t callers = 4;
+    const std::array<size_t, 3> sizes { smallBody, bufferedBytes + 1, largeBody };
+    RawUpstream raw([&](const std::string& head) {
+        std::string id = idOf(head);
+        size_t size = sizes[id.size() % sizes.size()];
+        return RawResponse { headOf("200 OK", id,
+                                 fmt::format(
+                                     "Response-Signature: s\r\nX-Body-Bytes: {0}\r\nContent-Length: {0}\r\n\r\n", size))
+            + bodyOf(id, size) };
+    });
+    MeshFleet mesh(raw, 2, 2s);
+    CandidateList candidates { mesh.fleet.candidates().front() };
+    std::string address = candidates.front().relayAddress;
+    FaultProxy proxy(static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+    candidates.front().relayAddress = fmt::format("127.0.0.1:{}", proxy.port());
+    mesh.fleet[1].node->setCandidates(std::make_shared<const CandidateList>(candidates));
+    std::atomic<bool> isStopped { false };
+    std::atomic<size_t> served { 0 };
+    std::atomic<size_t> failed { 0 };
+    std::atomic<size_t> wrong { 0 };
+    auto call = [&](size_t caller) {
+        for (size_t i = 0; !isStopped; ++i) {
+            std::string id = fmt::format("{}-{}{}", caller, i, std::string(i % sizes.size(), 'x'));
+            auto response = HttpCaller(mesh.fleet.port(1)).request("GET", "/read/a", { { "Attempt-Id", id } });
+            ++(response.status == 200 && response.complete ? served : failed);
+            wrong += !problemOf(response, id).empty();
+        }
+    };
+    std::vector<std::thread> threads;
+    for (size_t i = 0; i < callers; ++i)
+        threads.emplace_back(call, i);
+    std::mt19937 random(1);
+    for (int i = 0; i < 100; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10 + random() % 30));
+        proxy.setFault(PathFault::Reset);
+        std::this_thread::sleep_for(std::chrono::milliseconds(random() % 10));
+        proxy.setFault(PathFault::None);
+    }
+    isStopped = true;
+    for (std::thread& it : threads)
+        it.join();
+    BOOST_TEST_MESSAGE(served << " served, " << failed << " failed");
+    BOOST_TEST(wrong == 0U);
+    BOOST_TEST(served > 0U);
+    BOOST_TEST(failed > 0U);
+}
+
+// Guards against a reset that only the writer of the request saw, and the reader takes for the end of a body.
+BOOST_AUTO_TEST_CASE(resetWhileTheRequestIsWrittenIsNotTheEndOfTheBody)
+{
+    const std::string requestBody(4 << 20, 'x');
+    RawUpstream raw([&](const std::string& head) {
+        RawResponse response { headOf("200 OK", idOf(head), "Response-Signature: s\r\n\r\n") + "half" };
+        response.later = { { std::chrono::milliseconds(20), "" } };
+        response.closes = response.resets = true;
+        return response;
+    });
+    MeshFleet mesh(raw);
+    for (int i = 0; i < 20; ++i) {
+        HttpCaller caller(mesh.fleet.port());
+        auto response = caller.request("POST", "/read/a", { { "Attempt-Id", "first" } }, requestBody);
+        BOOST_TEST((response.status != 200 || !response.complete));
+    }
+}
--- a/tests/SpoiledResponses.h
+++ b/tests/SpoiledResponses.h
@@ -33,7 +33,8 @@
     {
     }
 
-    SpoiledResponse draw()
+    // `mayComeLate`: a second response may come after its connection was used again, so only an id tells whose it is.
+    SpoiledResponse draw(bool mayComeLate = true)
     {
         m_framing = static_cast<Framing>(m_random() % 3);
         std::string head = headOf();
@@ -48,7 +49,7 @@
         case 3:
             return repeated(whole, {});
         case 4:
-            return repeated(whole, std::chrono::milliseconds(m_random() % 30));
+            return repeated(whole, std::chrono::milliseconds(mayComeLate ? m_random() % 30 : 0));
         case 5:
             return spoiledSize(head);
         case 6:
--- a/tests/UpstreamStandIn.h
+++ b/tests/UpstreamStandIn.h
@@ -2,6 +2,7 @@
 //   Stand-In-Fault: slow | status | cut | unfinished | close | shed | endless | hold | crash
 //   stall, stall-sized (a part of Stand-In-Size bytes of a body, chunked or of twice the size; then nothing until
 //   closeStalled())
+//   spoil (a response of Stand-In-Bytes bytes is broken off, spoiled or repeated at random; Stand-In-Seed)
 //   (crash: the listener and all connections close; the upstream starts again on its port after a while)
 //   Stand-In-Delay-Ms (slow), Stand-In-Status (status), Stand-In-Size (bytes of the response body)
 //   Stand-In-Header (a header of the response, "Name: value")
@@ -17,6 +18,7 @@
 #include "node/GlibCalls.h"
 #include "node/HttpHeaders.h"
 #include "node/Node.h"
+#include "SpoiledResponses.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -343,12 +345,75 @@
                 fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", part.size(), part)));
         } else if (fault == "stall-sized")
             self->m_stalled.push_back(startTakeOver(*exchange, cutResponse(2 * exchange->size)));
+        else if (fault == "spoil")
+            spoil(exchange, std::stoull(self->option(message, "Stand-In-Seed", "seed")));
         else if (fault == "endless")
             takeOver(*exchange, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nno length");
         else
             self->respond(*exchange);
     }
 
+    static std::string textOf(const Exchange& exchange)
+    {
+        return fmt::format(
+            "{} {} {}", soup_server_message_get_method(exchange.message.get()), exchange.target, exchange.body.text());
+    }
+
+    static void spoil(const std::shared_ptr<Exchange>& exchange, uint64_t seed)
+    {
+        constexpr std::chrono::milliseconds openTime { 300 }; // of a connection that the response does not close
+        constexpr size_t mostLines = 100; // so that each piece of the response is written at once
+        seed ^= std::hash<std::string>()(exchange->target);
+        std::string body;
+        for (size_t lines = 1 + seed % mostLines; lines; --lines)
+            body += textOf(*exchange) + "\n";
+        SpoiledResponse response
+            = ResponseSpoiler(seed, fmt::format("Stand-In-Bytes: {}\r\n", body.size()), body).draw(false);
+        if (!response.closes)
+            response.pieces.push_back({ openTime, "" });
+        auto socket = std::shared_ptr<GSocket>(
+            shareObject(soup_server_message_get_socket(exchange->message.get())).release(), g_object_unref);
+        auto stream = std::shared_ptr<GIOStream>(startTakeOver(*exchange, "").release(), g_object_unref);
+        writePieces(exchange->upstream->m_task.context(), socket, stream, std::move(response), 0);
+    }
+
+    // Writes the pieces from the given one on, and closes.
+    static void writePieces(GMainContext* context, const std::shared_ptr<GSocket>& socket,
+        const std::shared_ptr<GIOStream>& stream, SpoiledResponse response, size_t next)
+    {
+        while (next < response.pieces.size() && response.pieces[next].delay.count() == 0)
+            writeAll(socket.get(), response.pieces[next++].bytes);
+        if (next == response.pieces.size()) {
+            if (response.resets)
+                closeWithReset(socket.get());
+            g_io_stream_close(stream.get(), nullptr, nullptr);
+            return;
+        }
+        auto delay = std::exchange(response.pieces[next].delay, {});
+        GSource* timer = g_timeout_source_new(static_cast<guint>(delay.count()));
+        auto* rest = new std::function<void()>([context, socket, stream, response = std::move(response), next] {
+            writePieces(context, socket, stream, response, next);
+        });
+        auto call = [](gpointer data) -> gboolean {
+            (*static_cast<std::function<void()>*>(data))();
+            return G_SOURCE_REMOVE;
+        };
+        g_source_set_callback(
+            timer, call, rest, [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
+        g_source_attach(timer, context);
+        g_source_unref(timer);
+    }
+
+    static void writeAll(GSocket* socket, std::string_view text)
+    {
+        while (!text.empty()) {
+            gssize n = g_socket_send(socket, text.data(), text.size(), nullptr, nullptr);
+            if (n <= 0)
+                break;
+            text.remove_prefix(static_cast<size_t>(n));
+        }
+    }
+
     // Half of what Content-Length promises.
     static std::string cutResponse(uint64_t size)
     {
@@ -369,13 +434,7 @@
         auto socket = shareObject(soup_server_message_get_socket(message.get()));
         ObjectHandle<GIOStream> stream(soup_server_message_steal_connection(message.get()));
         g_socket_set_blocking(socket.get(), TRUE);
-        size_t at = 0;
-        while (at < text.size()) {
-            gssize n = g_socket_send(socket.get(), text.data() + at, text.size() - at, nullptr, nullptr);
-            if (n <= 0)
-                break;
-            at += static_cast<size_t>(n);
-        }
+        writeAll(socket.get(), text);
         return stream;
     }
 
@@ -400,8 +459,7 @@
                 soup_message_headers_set_content_length(headers, static_cast<goffset>(exchange.size));
             sendMore(exchange);
         } else {
-            std::string text = fmt::format(
-                "{} {} {}", soup_server_message_get_method(message), exchange.target, exchange.body.text());
+            std::string text = textOf(exchange);
             soup_server_message_set_response(message, "text/plain", SOUP_MEMORY_COPY, text.data(), text.size());
         }
         soup_server_message_unpause(message);
