Test that proper requests of each framing are served

Cause: RequestFramingTests had one case only, which is listed in KNOWN-RED.txt; a program without a case to run fails.

Change: a case for requests whose body is framed properly, with another one behind each.

--- a/tests/RequestFramingTests.cpp
+++ b/tests/RequestFramingTests.cpp
@@ -36,8 +36,34 @@
     return result;
 }
 
+// Requests with a body of 5 bytes, another one behind each.
+std::vector<std::string> properRequests()
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    return { post("Content-Length: 5\r\n", "hello"), post("content-length:5\r\n", "hello"),
+        post(chunked, "5\r\nhello\r\n0\r\n\r\n"), post(chunked, "2;a=b\r\nhe\r\n03\r\nllo\r\n0\r\nX: 1\r\n\r\n") };
+}
+
 } // namespace
 
+// Guards against a proper request that is refused, or that swallows the one behind it.
+BOOST_AUTO_TEST_CASE(requestBehindAProperBodyIsServed)
+{
+    for (const std::string& it : properRequests()) {
+        TestFleet fleet;
+        HttpCaller caller(fleet.port());
+        caller.send(it);
+        BOOST_TEST_CONTEXT(it)
+        {
+            auto first = caller.receive();
+            BOOST_TEST(first.status == 200);
+            BOOST_TEST(first.header("Stand-In-Digest").starts_with("5:"));
+            BOOST_TEST(caller.receive().status == 200);
+            BOOST_TEST(fleet.upstream().count("/read/hidden") == 1U);
+        }
+    }
+}
+
 // Guards against request smuggling: what one caller hides behind a body runs as a request.
 BOOST_AUTO_TEST_CASE(requestHiddenBehindASpoiledBodyIsNotRun)
 {
