Hold an early response until the request is sent

An upstream that answers before it has read a long body ended the call early, and the entry, which has the whole response then, reset a caller that was still sending.

Change: a response is delivered once the request is written, or cannot be written any further.

--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -193,7 +193,8 @@
     else if (m_bodyBytesLeft > 0) {
         failLater({ { ErrorCode::Invalid, "upstream.body", m_address, "shorter than its length" },
             RefusalReason::BadRequest, m_started });
-    }
+    } else if (m_reader.head())
+        scheduleDelivery();
 }
 
 void UpstreamCall::write(std::string_view bytes)
@@ -232,6 +233,8 @@
     }
     m_output.clear();
     m_outputOffset = 0;
+    if (m_reader.head() && (m_isBodyEnded || m_hasWriteError))
+        scheduleDelivery();
 }
 
 void UpstreamCall::watchOutput()
@@ -364,7 +367,7 @@
     m_isDelivering = true;
     while (!m_done && deliverNext()) { }
     m_isDelivering = false;
-    bool needsInput = !m_headDelivered || m_wantsMore;
+    bool needsInput = !m_reader.isComplete() && (m_headDelivered ? m_wantsMore : !m_reader.head());
     if (!needsInput)
         m_inputWatch.reset(); // the peer is stopped by flow control
     else
@@ -374,7 +377,9 @@
 bool UpstreamCall::deliverNext()
 {
     const MessageHead* head = m_reader.head();
-    if (!head)
+    // The entry takes no more of its caller's body once it has the response of an upstream that answers early.
+    bool isRequestSent = m_isBodyEnded && !bufferedBytes();
+    if (!head || (!isRequestSent && !m_hasWriteError))
         return false;
     if (!std::exchange(m_headDelivered, true)) {
         deliverHead(*head);
--- a/tests/SpoiledResponseTests.cpp
+++ b/tests/SpoiledResponseTests.cpp
@@ -311,3 +311,23 @@
         BOOST_TEST((response.status != 200 || !response.complete));
     }
 }
+
+// Guards against losing the response of an upstream that answers before it has read a long request body, and reads on.
+BOOST_AUTO_TEST_CASE(earlyResponseReachesACallerThatStillSends)
+{
+    const std::string longBody(4 << 20, 'x');
+    const std::string orderBody(500'000, 'x'); // collected before the upstream gets it
+    RawUpstream raw([&](const std::string& head) { return RawResponse { responseOf(idOf(head), smallBody, false) }; });
+    MeshFleet mesh(raw);
+    for (std::string target : { "/read/a", "/order/a" }) {
+        for (int i = 0; i < 5; ++i) {
+            HttpCaller caller(mesh.fleet.port());
+            std::string id = fmt::format("id-{}", i);
+            auto response
+                = caller.request("POST", target, { { "Attempt-Id", id } }, target == "/read/a" ? longBody : orderBody);
+            BOOST_TEST(response.status == 200);
+            BOOST_TEST(response.complete);
+            BOOST_TEST((response.body == bodyOf(id, smallBody)));
+        }
+    }
+}
