Bound a head as a whole; refuse statuses and lengths out of range

The limit of a head was applied to what the parser had not consumed yet, so lines that come one by one were never too much. A status below 100 was passed over as an interim response, and a length above 2^63 became a negative one.

Change: HttpFraming counts the whole head, and refuses such statuses and lengths.

--- a/src/node/HttpFraming.cpp
+++ b/src/node/HttpFraming.cpp
@@ -55,6 +55,23 @@
     return std::nullopt;
 }
 
+// RFC 9110, section 15: the first status is 100.
+std::optional<Violation> checkStatus(const MessageHead& head)
+{
+    constexpr uint16_t firstStatus = 100;
+    if (head.status >= firstStatus)
+        return std::nullopt;
+    return Violation { FramingError::Kind::Malformed, "a status below 100" };
+}
+
+// A length that no signed number of 64 bits holds is not passed on between the nodes.
+std::optional<Violation> checkLength(const MessageHead& head)
+{
+    if (!head.contentLength || *head.contentLength <= std::numeric_limits<int64_t>::max())
+        return std::nullopt;
+    return Violation { FramingError::Kind::TooLarge, "a Content-Length above the largest one" };
+}
+
 // RFC 9112, section 3.2.
 std::optional<Violation> checkHost(const MessageHead& head)
 {
@@ -137,16 +154,18 @@
 
     void on_header_impl(BeastError& ec) override
     {
+        if (auto length = Base::content_length())
+            head.contentLength = *length;
         violation = checkTransferEncoding(head);
-        if (isRequest && !violation)
-            violation = checkHost(head);
+        if (!violation)
+            violation = isRequest ? checkHost(head) : checkStatus(head);
+        if (!violation)
+            violation = checkLength(head);
         if (violation) {
-            ec = Http::error::bad_transfer_encoding;
+            ec = Http::error::bad_value;
             return;
         }
         hasHead = true;
-        if (auto length = Base::content_length())
-            head.contentLength = *length;
         head.keepsConnection = Base::keep_alive();
         if (Base::is_done())
             head.framing = BodyFraming::None;
@@ -230,6 +249,8 @@
         return false;
     };
     if (ec == Http::error::need_more) {
+        if (!m_parser->hasHead && m_parsedBytes + bytes.size() > m_limits.headBytes)
+            return fail(FramingError::Kind::TooLarge, "a head above its limit");
         if (m_parser->hasHead && bytes.size() > m_limits.chunkLineBytes)
             return fail(FramingError::Kind::TooLarge, "a chunk line or trailers above their limit");
         return false;
--- a/tests/HttpFramingTests.cpp
+++ b/tests/HttpFramingTests.cpp
@@ -265,6 +265,33 @@
     }
 }
 
+// Guards against a head without bound whose lines come one by one, so that each is small.
+BOOST_AUTO_TEST_CASE(endlessLinesAreTooLargeInEverySplit)
+{
+    constexpr size_t lines = 100'000;
+    for (std::string line : { "X: a\r\nX", ": b\r\nX", ": b\r\nX-Longer" }) {
+        MessageReader reader(MessageKind::Response);
+        reader.feed("HTTP/1.1 200 OK\r\nX");
+        for (size_t n = 0; n < lines && !reader.error(); ++n)
+            reader.feed(line.starts_with("X") ? ": b\r\n" + line : line);
+        BOOST_REQUIRE(reader.error());
+        BOOST_TEST((reader.error()->kind == FramingError::Kind::TooLarge));
+    }
+}
+
+// Guards against a status or a length that the rest of the node cannot hold.
+BOOST_AUTO_TEST_CASE(statusAndLengthAreInRange)
+{
+    for (std::string line : { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK" })
+        BOOST_TEST(!readWhole(MessageKind::Response, line + "\r\nContent-Length: 2\r\n\r\nok").isComplete);
+    for (std::string length : { "9223372036854775808", "18446744073709551615" }) {
+        MessageReader reader(MessageKind::Response);
+        reader.feed(response("Content-Length: " + length + "\r\n"));
+        BOOST_TEST(reader.error());
+        BOOST_TEST(!reader.head());
+    }
+}
+
 // Guards against an assertion or a memory error on spoiled messages, and against a result that depends on the split.
 BOOST_AUTO_TEST_CASE(spoiledMessagesReadTheSameInEverySplit)
 {
