Look for bytes behind a response where it is delivered

Whether other bytes follow a body of known length was asked when its last byte was read. A second response that comes between that and the delivery was seen, logged and passed over.

Change: the question is asked before each part that is delivered, so the later bytes count too. SpoiledResponseTests also checks that each of its requests has reached the upstream.

The window itself is too narrow for a test that shows it before the fix.

--- a/src/node/UpstreamClient.cpp
+++ b/src/node/UpstreamClient.cpp
@@ -317,10 +317,6 @@
     }
     if (const FramingError* error = m_reader.error())
         fail(*error);
-    else if (isLengthUncertain()) {
-        fail({ { ErrorCode::Invalid, "upstream.read", m_address, "bytes follow the response, so its end is uncertain" },
-            RefusalReason::UpstreamInvalid, true });
-    }
 }
 
 // A length says how much comes, not whose it is: when a response is broken off and another one follows, the length is
@@ -381,6 +377,11 @@
     bool isRequestSent = m_isBodyEnded && !bufferedBytes();
     if (!head || (!isRequestSent && !m_hasWriteError))
         return false;
+    if (isLengthUncertain()) {
+        fail({ { ErrorCode::Invalid, "upstream.read", m_address, "bytes follow the response, so its end is uncertain" },
+            RefusalReason::UpstreamInvalid, true });
+        return false;
+    }
     if (!std::exchange(m_headDelivered, true)) {
         deliverHead(*head);
         return true;
--- a/tests/SpoiledResponseTests.cpp
+++ b/tests/SpoiledResponseTests.cpp
@@ -61,6 +61,7 @@
         bool looksWhole = response.status == 200 && response.complete;
         found += looksWhole && response.body != bodyOf(id, size);
     }
+    BOOST_TEST(raw.requests() == requests);
     return found;
 }
 
