Interfaces of organisations, freshness proofs, quotas and full upstreams

Change: Organisation and OrganisationTable in the configuration; settings [keys], [quota] and [balancing]; refusal reasons; relay version 7 with fields that are sent only to peers that know them; calls in EntryExchange. Result: without organisations and settings nothing changes; RelayFramesTests and SettingsFileTests pass.

--- a/src/core/Basics.h
+++ b/src/core/Basics.h
@@ -97,6 +97,10 @@
     UpstreamShed, // the upstream rejected the request and states that it did not execute it
     Degraded, // the upstream failed recently; another one should be tried first
     RateLimited, // the upstream takes no more requests at this moment; since relay version 5
+    KeyUnknown, // no organisation holds the caller's key; since relay version 7, as the reasons below
+    KeyUnverified, // this node cannot tell whether the key is still valid
+    QuotaExceeded, // the organisation has used its quota
+    SlotsTaken, // all slots of the upstream are taken; another one may have a free slot
 };
 
 std::string_view toString(Outcome);
--- a/src/core/Configuration.h
+++ b/src/core/Configuration.h
@@ -1,8 +1,7 @@
 // The accepted configuration: services, routes and their policies, and the table that matches requests to routes.
 #pragma once
 
-#include "Basics.h"
-#include <memory>
+#include "Organisations.h"
 
 namespace Gooseberrymill {
 
@@ -67,6 +66,7 @@
     // directly.
     bool isSplitTarget = false;
     uint32_t maxAttempts = 0; // upstreams that one request may be sent to; 0: RetryPolicy::maxAttempts of the service
+    bool isPublic = false; // callers need no key, even if the configuration has organisations
     bool operator==(const Route&) const = default;
 };
 
@@ -90,6 +90,7 @@
     std::string changeId; // unique per write; shows whether a write whose response was lost took effect
     std::string author;
     std::vector<Service> services;
+    std::vector<Organisation> organisations; // if empty, callers need no key
     bool operator==(const Configuration&) const = default;
 };
 
@@ -119,6 +120,8 @@
     // `draw` is a uniformly distributed random number; equal values select the same service.
     Match drawSplit(const Match&, uint64_t draw) const;
 
+    const OrganisationTable& organisations() const { return m_organisations; } // of all documents
+
     std::span<const std::shared_ptr<const Configuration>> documents() const { return m_documents; }
     size_t routeCount() const { return m_routeCount; }
 
@@ -135,6 +138,7 @@
     std::vector<std::shared_ptr<const Configuration>> m_documents;
     std::vector<Entry> m_entries; // sorted by host, then prefix
     std::vector<const Service*> m_services; // sorted by name
+    OrganisationTable m_organisations;
     size_t m_routeCount = 0;
 };
 
--- a/src/core/DirectorySync.h
+++ b/src/core/DirectorySync.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "NodeDirectory.h"
+#include "RelayMessages.h"
 
 namespace Gooseberrymill {
 
@@ -25,6 +26,14 @@
         archive(sender, isWatching, isForRegion, requestsComparison, digest, configurationDigest, records,
             knownFingerprints);
     }
+
+    // Since version 7.
+    FreshnessProof proof {}; // of the sender
+    uint64_t echo = 0; // the `question` of the last reply that the sender got from the receiver
+    template <class Archive, class Self> static void serializeExtension(Archive& archive, Self& self)
+    {
+        archive(self.proof, self.echo);
+    }
 };
 
 // Response to a notice.
@@ -37,6 +46,14 @@
     {
         archive(digest, configurationDigest, records, knownFingerprints);
     }
+
+    // Since version 7.
+    FreshnessProof proof {}; // of the replying node
+    uint64_t question = 0; // returned in the next notice, which then shows that it was sent after this reply
+    template <class Archive, class Self> static void serializeExtension(Archive& archive, Self& self)
+    {
+        archive(self.proof, self.question);
+    }
 };
 
 // Creates a notice with `sender`, `digest` and `records` set.
--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -1,10 +1,21 @@
 // Messages that nodes exchange over TCP. RelayFrames encodes and authenticates them.
 #pragma once
 
-#include "Basics.h"
+#include "Organisations.h"
 
 namespace Gooseberrymill {
 
+// Fields that were added to a message after its first version are serialized by serializeExtension(), behind the
+// others. They are sent only to peers that understand them, and keep their defaults in messages of other peers.
+
+// What a node knows about how new its configuration is; see core/ConfigurationFreshness.h.
+struct FreshnessProof {
+    uint64_t configuration = 0; // stamp of the configuration that was the newest one; 0: the sender knows nothing
+    uint32_t ageMs = 0; // time since it was certainly the newest, at the sending of this message
+    template <class Archive> void serialize(Archive& archive) { archive(configuration, ageMs); }
+    bool operator==(const FreshnessProof&) const = default;
+};
+
 // One HTTP header field.
 struct Header {
     std::string name;
@@ -44,6 +55,15 @@
         archive(requestId, service, route, upstream, method, target, headers, bodyLength, deadlineMs, operationKind,
             operation, executor, isInquiry, isLastChoice, wantsContinue, configurationDigest);
     }
+
+    // Since version 7.
+    std::string organisation {}; // of the caller; empty: none
+    KeyDigest key = 0; // that the caller presented; 0: none
+    bool mayReturnWhenFull = false; // the entry tries another upstream if all slots of this one are taken
+    template <class Archive, class Self> static void serializeExtension(Archive& archive, Self& self)
+    {
+        archive(self.organisation, self.key, self.mayReturnWhenFull);
+    }
 };
 
 // What an upstream process asks of its callers in its responses. The executor beside it passes it on to the entries,
@@ -93,6 +113,12 @@
     int64_t bodyLength = -1; // bytes; -1 if unknown, then BodyEnd marks the end
     LoadReport load;
     template <class Archive> void serialize(Archive& archive) { archive(requestId, status, headers, bodyLength, load); }
+
+    FreshnessProof proof {}; // since version 7
+    template <class Archive, class Self> static void serializeExtension(Archive& archive, Self& self)
+    {
+        archive(self.proof);
+    }
 };
 
 // Sent instead of a ResponseHead if the request is not answered by an upstream.
@@ -111,6 +137,12 @@
     {
         archive(requestId, outcome, reason, retryAfterMs, runs, dispatched, step, peer, holder, load);
     }
+
+    FreshnessProof proof {}; // since version 7
+    template <class Archive, class Self> static void serializeExtension(Archive& archive, Self& self)
+    {
+        archive(self.proof);
+    }
 };
 
 // Asks a node for an operation token that names its incarnation. May be repeated without harm.
@@ -175,4 +207,18 @@
     template <class Archive> void serialize(Archive&) { }
 };
 
+// Asks a home of an organisation's quota for requests that may run; see core/Quota.h.
+struct QuotaQuery {
+    std::string organisation;
+    uint32_t wanted = 1; // requests
+    uint32_t returned = 0; // requests granted before that did not run
+    template <class Archive> void serialize(Archive& archive) { archive(organisation, wanted, returned); }
+};
+
+struct QuotaReply {
+    uint32_t granted = 0; // requests that may run
+    uint32_t retryAfterMs = 0; // if nothing was granted: when a request will be; 0: this node is no home of the quota
+    template <class Archive> void serialize(Archive& archive) { archive(granted, retryAfterMs); }
+};
+
 } // namespace Gooseberrymill
--- a/src/core/RouteTable.cpp
+++ b/src/core/RouteTable.cpp
@@ -30,6 +30,7 @@
     : m_documents(std::move(documents))
 {
     for (const auto& document : m_documents) {
+        m_organisations.add(document->organisations);
         for (const Service& service : document->services) {
             m_services.push_back(&service);
             for (const Route& route : service.routes) {
--- a/src/node/AttemptPlan.h
+++ b/src/node/AttemptPlan.h
@@ -70,6 +70,7 @@
         case RefusalReason::Degraded:
         case RefusalReason::DeadlineUnreachable:
         case RefusalReason::RateLimited:
+        case RefusalReason::SlotsTaken:
             return true;
         default:
             return false;
--- /dev/null
+++ b/src/node/EntryAdmission.cpp
@@ -0,0 +1,73 @@
+// The part of EntryExchange that decides whether an organisation's request is accepted: its key, then its quota.
+#include "EntryExchange.h"
+
+namespace Gooseberrymill {
+
+namespace {
+
+constexpr std::string_view bearerScheme = "Bearer ";
+
+// The key in the Authorization header; empty: none.
+std::string_view keyOf(const std::vector<Header>& headers)
+{
+    const Header* header = findHeader(headers, HeaderName::authorization);
+    if (!header || header->value.size() <= bearerScheme.size())
+        return {};
+    std::string_view value = header->value;
+    bool isBearer = equalsIgnoringCase(value.substr(0, bearerScheme.size()), bearerScheme);
+    return isBearer ? value.substr(bearerScheme.size()) : std::string_view();
+}
+
+} // namespace
+
+// A configuration without organisations asks for no keys, and passes on whatever the caller sends.
+bool EntryExchange::authorize()
+{
+    const OrganisationTable& organisations = m_routes->organisations();
+    if (organisations.isEmpty())
+        return true;
+    std::string key(keyOf(m_head.headers));
+    removeHeaders(m_head.headers, HeaderName::authorization);
+    removeHeaders(m_head.headers, m_worker.m_hooks.headers.organisation);
+    if (m_match.route->isPublic)
+        return true;
+    const auto& isFresh = m_worker.m_hooks.isConfigurationFresh;
+    if (isFresh && !isFresh()) {
+        refuseLocally(RefusalReason::KeyUnverified, "entry.key", {}, 1s);
+        return false;
+    }
+    const Organisation* organisation = organisations.find(key);
+    if (!organisation) {
+        refuseLocally(RefusalReason::KeyUnknown, "entry.key");
+        return false;
+    }
+    m_head.organisation = organisation->name;
+    m_head.key = digestOfKey(key);
+    m_head.headers.push_back({ m_worker.m_hooks.headers.organisation, organisation->name });
+    return true;
+}
+
+void EntryExchange::requestQuota()
+{
+    const Organisation* organisation = m_routes->organisations().named(m_head.organisation);
+    const auto& acquire = m_worker.m_hooks.acquireQuota;
+    if (!organisation || !acquire)
+        return startRequest();
+    acquire(*organisation, [weak = weak_from_this()](const QuotaDecision& decision) {
+        auto self = weak.lock();
+        if (!self || self->m_finished || self->m_respondedLocally)
+            return; // the caller is gone, or was answered; what was granted is given back by its holder
+        self->m_holdsQuota = decision.isGranted;
+        if (decision.isGranted)
+            return self->startRequest();
+        self->refuseLocally(RefusalReason::QuotaExceeded, "entry.quota", {}, decision.retryAfter);
+    });
+}
+
+void EntryExchange::returnQuota()
+{
+    if (std::exchange(m_holdsQuota, false) && m_worker.m_hooks.returnQuota)
+        m_worker.m_hooks.returnQuota(m_head.organisation);
+}
+
+} // namespace Gooseberrymill
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -33,6 +33,7 @@
 constexpr Duration executorDiscoveryTimeout = 1s; // membership updates reach every member within this time
 constexpr Duration truncationLimit = 1s; // a caller that has not taken a truncated response by then gets a reset
 constexpr guint firstServerError = 500;
+constexpr guint tooManyRequests = 429;
 constexpr std::string_view tokenPath = "/.gooseberrymill/token";
 
 guint statusOf(const Refusal& refusal)
@@ -42,6 +43,10 @@
         return SOUP_STATUS_BAD_REQUEST;
     case RefusalReason::NoRoute:
         return SOUP_STATUS_NOT_FOUND;
+    case RefusalReason::KeyUnknown:
+        return SOUP_STATUS_UNAUTHORIZED;
+    case RefusalReason::QuotaExceeded:
+        return tooManyRequests;
     case RefusalReason::BodyTooLarge:
         return SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
     case RefusalReason::KeyReused:
@@ -319,8 +324,13 @@
     if (!findRoute() || !checkLimits())
         return;
     buildHead();
-    if (!parseOperation())
+    if (!authorize() || !parseOperation())
         return;
+    requestQuota();
+}
+
+void EntryExchange::startRequest()
+{
     if (m_worker.m_hooks.offered)
         m_worker.m_hooks.offered(*m_match.service);
     uint32_t maxAttempts = m_match.route->maxAttempts ? m_match.route->maxAttempts : m_match.service->retry.maxAttempts;
@@ -930,6 +940,8 @@
     constexpr uint32_t millisPerSecond = 1000;
     // The outcome covers all attempts of the request, not only the last one.
     refusal.dispatched = refusal.dispatched || m_dispatched;
+    if (!refusal.dispatched)
+        returnQuota();
     if (refusal.dispatched && refusal.outcome == Outcome::NotRun)
         refusal.outcome = Outcome::Unknown;
     if (m_knownToHaveRun && refusal.outcome == Outcome::Unknown) {
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -51,6 +51,10 @@
     bool rerouteByNewerConfiguration(); // false: there is no newer configuration, or no route in it
     bool parseOperation();
     bool checkLimits();
+    bool authorize(); // checks the caller's key; false: the request was refused
+    void requestQuota(); // starts the request once its organisation's quota allows it, or refuses it
+    void returnQuota(); // gives back what requestQuota() got, if the request has not run
+    void startRequest();
     void buildHead();
     void serveToken(std::string_view service);
 
@@ -144,6 +148,7 @@
     bool m_forwardedToHolder = false; // the request was forwarded to the claim's holder once, which is the limit
     std::function<void()> m_retryOnSweep; // run by the next sweep, when this entry may have learned of the executor
     std::optional<Instant> m_executorWaitEnd; // when waitForExecutor() gives up
+    bool m_holdsQuota = false; // a request of the organisation's quota was granted and not given back
     bool m_dispatched = false; // an attempt may have reached an upstream
     bool m_knownToHaveRun = false; // the store shows that the operation ran
     bool m_paused = false; // libsoup's processing of the message is paused
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -92,6 +92,12 @@
     NoticeBook m_book; // guarded by m_mutex
 };
 
+// Answer to an organisation's request that may need a part of its quota.
+struct QuotaDecision {
+    bool isGranted = false;
+    Duration retryAfter {}; // if not granted: when the caller's turn comes
+};
+
 // Settings and callbacks by which the node connects its entry workers to the control plane. An empty callback is
 // skipped.
 struct EntryHooks {
@@ -100,6 +106,12 @@
     std::function<void(const Service&)> offered; // called for each request of a caller, before its first attempt
     std::function<bool(const Service&)> allowRetry; // takes one retry from the service's retry budget; empty: no budget
     std::function<uint64_t()> configurationDigest; // digest sent along with each request
+    // Whether the configuration is certainly so new that a key in it may be accepted; empty: it always is.
+    std::function<bool()> isConfigurationFresh;
+    // Takes a request from the organisation's quota and calls back, at once or later; empty: there are no quotas.
+    std::function<void(const Organisation&, std::function<void(QuotaDecision)>)> acquireQuota;
+    // Gives back a request that was granted to the organisation and has not run.
+    std::function<void(const std::string& organisation)> returnQuota;
 };
 
 class EntryExchange;
--- a/src/node/HttpHeaders.h
+++ b/src/node/HttpHeaders.h
@@ -19,6 +19,8 @@
 constexpr const char* retryAfter = "Retry-After";
 constexpr const char* contentType = "Content-Type";
 constexpr const char* rateLimit = "Gooseberrymill-Rate-Limit"; // requests per second that the upstream takes
+constexpr const char* authorization = "Authorization"; // request: "Bearer KEY"
+constexpr const char* organisation = "Gooseberrymill-Organisation"; // request to an upstream: the caller's organisation
 constexpr const char* leaving = "Gooseberrymill-Leaving"; // "1": the upstream takes no new requests
 } // namespace HeaderName
 
@@ -30,6 +32,7 @@
     const char* notRun = "Gooseberrymill-Not-Run"; // response: the upstream did not run the request
     const char* requestId = nullptr; // id that callers set and upstreams echo; null: there is none
     const char* rateLimit = HeaderName::rateLimit; // response: requests per second from the whole fleet, a decimal
+    const char* organisation = HeaderName::organisation; // request to an upstream: the caller's organisation
     const char* leaving = HeaderName::leaving; // response: "1" from an upstream that is leaving
     const char* signature = nullptr; // header that every successful response must have; null: not required
     bool hasFractionalRetryAfter = false; // whether Retry-After is sent with fractions of a second
--- a/src/node/RelayFrames.cpp
+++ b/src/node/RelayFrames.cpp
@@ -153,6 +153,7 @@
 constexpr size_t maxHeadBytes = 128 << 10;
 constexpr uint8_t compressedFlag = 0x80; // bit of the kind byte: the payload is compressed by DEFLATE
 constexpr size_t minCompressedBytes = 512; // smaller payloads are not compressed, because they gain too little
+constexpr uint16_t firstVersionWithExtensions = 7;
 constexpr size_t maxCrashBytes = maxCrashReports * (sizeof(Id128) + sizeof(uint32_t) + 2 * sizeof(Fingerprint)) + 1024;
 
 constexpr size_t maxDepartureBytes = maxDeparturesPerNode * 512 + 512;
@@ -180,6 +181,8 @@
     1024, // upstreamNotice
     maxDepartureBytes, // departureNotice
     64, // departureReply
+    1024, // quotaQuery
+    64, // quotaReply
 };
 
 void writeBigEndian(std::string& out, size_t at, uint64_t value, size_t bytes)
@@ -201,12 +204,27 @@
     return { reinterpret_cast<const uint8_t*>(text.data()), text.size() };
 }
 
-void writePayload(const RelayMessage& message, std::string& out)
+// A message with fields that were added after its first version; see core/RelayMessages.h.
+template <typename Message, typename Archive>
+concept Extended = requires(Message message, Archive archive)
+{
+    Message::serializeExtension(archive, message);
+};
+
+void writePayload(const RelayMessage& message, uint16_t peerVersion, std::string& out)
 {
     detail::StringSink sink(out);
     std::ostream stream(&sink);
     cereal::PortableBinaryOutputArchive archive(stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-    std::visit([&](const auto& value) { archive(value); }, message);
+    std::visit(
+        [&]<typename Message>(const Message& value) {
+            archive(value);
+            if constexpr (Extended<Message, cereal::PortableBinaryOutputArchive>) {
+                if (peerVersion >= firstVersionWithExtensions)
+                    Message::serializeExtension(archive, value);
+            }
+        },
+        message);
 }
 
 template <typename Enum> bool isAtMost(Enum value, Enum last) { return value <= last; }
@@ -223,7 +241,7 @@
 bool isValid(const Refusal& refusal)
 {
     return isValid(refusal.load) && isAtMost(refusal.outcome, Outcome::Ran)
-        && isAtMost(refusal.reason, RefusalReason::RateLimited);
+        && isAtMost(refusal.reason, RefusalReason::SlotsTaken);
 }
 bool isValid(const UpstreamNotice& notice) { return notice.rate >= 0 && notice.rate <= maxUpstreamRate; }
 bool isValid(const RequestContext& context) { return isValid(context.notice); }
@@ -279,7 +297,15 @@
     try {
         RelayMessage value = emptyMessage(index);
         detail::BoundedInputArchive archive(payload);
-        std::visit([&](auto& body) { archive(body); }, value);
+        std::visit(
+            [&]<typename Message>(Message& body) {
+                archive(body);
+                if constexpr (Extended<Message, detail::BoundedInputArchive>) {
+                    if (archive.remainingBytes())
+                        Message::serializeExtension(archive, body);
+                }
+            },
+            value);
         if (archive.remainingBytes() || !std::visit([](const auto& body) { return isValid(body); }, value))
             return ErrorCode::Malformed;
         message = std::move(value);
@@ -293,6 +319,8 @@
 
 uint16_t firstVersionOf(const RelayMessage& message)
 {
+    if (std::holds_alternative<QuotaQuery>(message) || std::holds_alternative<QuotaReply>(message))
+        return 7;
     if (std::holds_alternative<DepartureNotice>(message) || std::holds_alternative<DepartureReply>(message))
         return 6;
     bool isNew = std::holds_alternative<RequestContext>(message) || std::holds_alternative<UpstreamNotice>(message);
@@ -336,7 +364,7 @@
     constexpr size_t payloadStart = 1 + frameHeaderBytes;
     m_authenticatedBytes.assign(payloadStart, '\0'); // byte 0: direction label, authenticated but not sent
     m_authenticatedBytes[0] = static_cast<char>(m_send.label);
-    writePayload(message, m_authenticatedBytes);
+    writePayload(message, m_peerHello.version, m_authenticatedBytes);
     size_t payload = m_authenticatedBytes.size() - payloadStart;
     if (payload > maxPayloadBytes(kind))
         return ErrorCode::TooLarge;
--- a/src/node/RelayFrames.h
+++ b/src/node/RelayFrames.h
@@ -23,7 +23,7 @@
 
 // Version of the message set. A peer that is one version behind is accepted. The versions between 1 and 4 were never
 // released.
-constexpr uint16_t relayVersion = 6;
+constexpr uint16_t relayVersion = 7;
 
 // First frame of each side.
 struct Hello {
@@ -61,7 +61,7 @@
 // The kind of a frame is the index of its message in this variant plus one.
 using RelayMessage = std::variant<Hello, RequestHead, BodyChunk, BodyEnd, ResponseHead, Refusal, Cancel, TokenQuery,
     TokenReply, ConfigurationQuery, ConfigurationReply, CrashNotice, CrashNoticeReply, DirectoryNotice, DirectoryReply,
-    Continue, RequestContext, UpstreamNotice, DepartureNotice, DepartureReply>;
+    Continue, RequestContext, UpstreamNotice, DepartureNotice, DepartureReply, QuotaQuery, QuotaReply>;
 
 // First relay version whose nodes understand the message. Must not be sent to a peer with an older version.
 uint16_t firstVersionOf(const RelayMessage&);
--- a/src/node/Settings.h
+++ b/src/node/Settings.h
@@ -71,6 +71,21 @@
     Duration drainGracePeriod = 1s; // time after SIGTERM during which connections of callers are still accepted
     Duration drainTimeout {}; // longest wait for requests in flight after SIGTERM; 0: no limit
 
+    // [keys]: keys of organisations
+    // Time after a key was taken away from which no request with it runs, also at nodes that are cut off; 0: as the
+    // configuration arrives.
+    Duration keyRevocationBound {};
+
+    // [quota]: requests of an organisation over the whole fleet; in each window it may run
+    // (rate * window + burst) * (1 + overage) + slack
+    Duration quotaWindow = 5s;
+    double quotaOverage = 0; // share
+    uint32_t quotaSlack = 0; // requests
+
+    // [balancing]
+    // Whether a request that finds all slots of an upstream taken may go on to another one.
+    bool triesOthersWhenFull = false;
+
     // [trace]
     std::string traceFile; // file that decisions are recorded to; empty: no recording
 
--- a/src/node/SettingsFile.cpp
+++ b/src/node/SettingsFile.cpp
@@ -190,6 +190,28 @@
         "Longest wait for requests in flight after SIGTERM; 0s: until the last one ends.");
 }
 
+void describeKeys(auto& section, Settings& settings)
+{
+    section.duration("revocationBound", settings.keyRevocationBound, { 0s, 1h },
+        "Time after a key was taken away from which it is not accepted anywhere, also at nodes that are cut off; 0s: "
+        "as "
+        "the configuration arrives.");
+}
+
+void describeQuota(auto& section, Settings& settings)
+{
+    section.duration("window", settings.quotaWindow, { 1s, 1h }, "Window in which the quota of an organisation holds.");
+    section.real("overage", settings.quotaOverage, { 0.0, 1.0 }, "Share by which a window may exceed the quota.");
+    section.integer("slack", settings.quotaSlack, { 0, 1'000'000 }, Presence::Optional,
+        "Requests by which a window may exceed the quota, besides the share.");
+}
+
+void describeBalancing(auto& section, Settings& settings)
+{
+    section.flag("triesOthersWhenFull", settings.triesOthersWhenFull,
+        "Whether a request that finds all slots of an upstream taken may go on to another one.");
+}
+
 void describeTrace(auto& section, Settings& settings)
 {
     section.text("file", settings.traceFile, fileNameRule, Presence::Optional,
@@ -208,6 +230,9 @@
     section.section("limits", [&](auto& limits) { describeLimits(limits, settings); });
     section.section("retry", [&](auto& retry) { describeRetry(retry, settings); });
     section.section("drain", [&](auto& drain) { describeDrain(drain, settings); });
+    section.section("keys", [&](auto& keys) { describeKeys(keys, settings); });
+    section.section("quota", [&](auto& quota) { describeQuota(quota, settings); });
+    section.section("balancing", [&](auto& balancing) { describeBalancing(balancing, settings); });
     section.section("trace", [&](auto& trace) { describeTrace(trace, settings); });
 }
 
--- a/tests/RelayFramesTests.cpp
+++ b/tests/RelayFramesTests.cpp
@@ -66,21 +66,25 @@
     ResponseHead response;
     response.status = 204;
     response.load = { 1, 2, 3, UpstreamState::Degraded };
+    response.proof = { 23, 24 };
     Refusal refusal;
-    refusal.reason = RefusalReason::Overloaded;
+    refusal.reason = RefusalReason::SlotsTaken;
+    refusal.proof = { 25, 26 };
     refusal.step = "executor.admission";
     refusal.dispatched = true;
     ConfigurationReply reply;
     reply.newer.push_back({ "main", 4, "change", "author", std::string(100000, 'x') });
     DirectoryNotice notice { "node-a", true, true, true, 11, 12, { NodeRecord() }, { 13, 14 } };
     notice.records[0].name = "node-b";
+    notice.proof = { 27, 28 };
+    notice.echo = 29;
     return { sampleHead(), BodyChunk { std::string(maxChunkBytes, 'b') }, BodyEnd {}, response, refusal,
         Cancel { { 1, 1 } }, TokenQuery { { 2, 2 }, "shop" }, TokenReply { { 3, 3 }, { 4, 4 }, { 5, 5 }, 6 },
         ConfigurationQuery { { { "main", 3, "", "", "" } } }, reply, largestNotice(),
         CrashNoticeReply { { { { 6, 7 }, 8, 9 } }, { 10 } }, notice, DirectoryReply { 15, 16, notice.records, { 17 } },
         Continue { { 18, 19 } }, RequestContext { true, { "i-1@5", 1.5, 0, true } },
         UpstreamNotice { "i-1@5", 0.25, 700, false }, DepartureNotice { "node-a", { 20, 21 }, { { "i-1", 22 } } },
-        DepartureReply {} };
+        DepartureReply {}, QuotaQuery { "archive", 2, 1 }, QuotaReply { 1, 250 } };
 }
 
 void appendBigEndian(std::string& out, uint64_t value, size_t bytes)
@@ -381,6 +385,8 @@
             expected = 5;
         if (std::holds_alternative<DepartureNotice>(message) || std::holds_alternative<DepartureReply>(message))
             expected = 6;
+        if (std::holds_alternative<QuotaQuery>(message) || std::holds_alternative<QuotaReply>(message))
+            expected = 7;
         BOOST_TEST(firstVersionOf(message) == expected);
     }
 }
