Keys of organisations, and their end in time at nodes that are cut off

Change: organisations in both forms of the configuration; the entry looks the key up, replaces it by the organisation's name, and asks again before each attempt; the executor looks again before a queued request runs.

--- a/src/core/Basics.cpp
+++ b/src/core/Basics.cpp
@@ -8,11 +8,12 @@
 
 constexpr std::array<std::string_view, 3> outcomeNames { "not-run", "unknown", "ran" };
 
-constexpr std::array<std::string_view, 29> refusalReasonNames { "none", "no-configuration", "no-route", "bad-request",
+constexpr std::array<std::string_view, 33> refusalReasonNames { "none", "no-configuration", "no-route", "bad-request",
     "body-too-large", "no-upstream", "draining", "ejected", "queue-full", "deadline-unreachable", "deadline-exceeded",
     "cancelled", "query-of-death", "store-unavailable", "key-expired", "key-reused", "held-elsewhere", "holder-gone",
     "upstream-unreachable", "upstream-crashed", "upstream-truncated", "upstream-invalid", "relay-failed",
-    "shutting-down", "overloaded", "answer-not-recorded", "upstream-shed", "degraded", "rate-limited" };
+    "shutting-down", "overloaded", "answer-not-recorded", "upstream-shed", "degraded", "rate-limited", "key-unknown",
+    "key-unverified", "quota-exceeded", "slots-taken" };
 
 constexpr std::array<std::string_view, workClassCount> workClassNames { "critical", "interactive", "patient",
     "background" };
--- a/src/core/ConfigurationLedger.cpp
+++ b/src/core/ConfigurationLedger.cpp
@@ -47,6 +47,14 @@
     return it == m_documents.end() ? nullptr : &it->second;
 }
 
+uint64_t ConfigurationLedger::stamp() const
+{
+    uint64_t stamp = 0;
+    for (const auto& [name, record] : m_documents)
+        stamp += record.changeNumber;
+    return stamp;
+}
+
 std::vector<ConfigurationRecord> ConfigurationLedger::held() const
 {
     std::vector<ConfigurationRecord> records;
@@ -210,6 +218,12 @@
     m_actions.emplace_back(ReadStore {});
 }
 
+void ConfigurationSync::readSoon(Instant now)
+{
+    if (!m_readStartedAt)
+        startRead(now);
+}
+
 void ConfigurationSync::recordStoreResponse()
 {
     m_isStoreLost = false;
--- a/src/core/ConfigurationLedger.h
+++ b/src/core/ConfigurationLedger.h
@@ -32,6 +32,7 @@
     // Hash of all names with their change numbers, or versions where there is no number; 0 if there are none.
     uint64_t digest() const { return m_digest; }
 
+    uint64_t stamp() const; // sum of the change numbers, which rises with each change of a document
     std::vector<ConfigurationRecord> held() const; // all documents without their texts
     ConfigurationReply newerThan(const ConfigurationQuery&) const; // complete documents that the querying node lacks
 
@@ -148,6 +149,7 @@
     // previous version stays in force.
     void accepted(const ConfigurationRecord&, Instant now);
     void rejected(const ConfigurationRecord&, Instant now);
+    void readSoon(Instant now); // reads the store at once, whatever the role, unless a read is pending
     void tick(Instant now); // runs timers; call it about every 50 ms
 
     // [SECTION] Output
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -9,6 +9,7 @@
 #include "core/StoreHistory.h"
 #include "Log.h"
 #include "RelayClient.h"
+#include "SharedFreshness.h"
 #include "Task.h"
 
 namespace Gooseberrymill {
@@ -19,6 +20,7 @@
     std::function<std::string(std::string_view node)> relayAddress; // returns an empty string when the node is unknown
     std::function<void(const ConfigurationRecord&)> accepted; // a document was applied
     std::function<void(bool isReachable)> storeCallFinished; // may be empty
+    std::shared_ptr<SharedFreshness> freshness {}; // learns what the store confirms; may be null
     std::function<void(const ConfigurationRecord&, const std::string& reason)>
         refused; // a document is invalid and was not applied
 };
@@ -64,6 +66,13 @@
     }
 
     // Answers a peer's query with the documents that are newer than its own.
+    // Reads the store once, outside the schedule of the reads, for a node whose knowledge of the newest configuration
+    // grows old.
+    void readStore()
+    {
+        run([&](Instant now) { m_sync.readSoon(now); });
+    }
+
     ConfigurationReply answer(ConfigurationQuery query) const
     {
         numberChanges(query.held);
@@ -130,7 +139,8 @@
     {
         if (!m_store)
             return m_sync.storeFailed(currentInstant());
-        m_store->list(m_format.kind, guarded([this](const Result<std::vector<StoredObject>>& result) {
+        Instant askedAt = currentInstant();
+        m_store->list(m_format.kind, guarded([this, askedAt](const Result<std::vector<StoredObject>>& result) {
             run([&](Instant now) {
                 if (!result) {
                     bool hasTimedOut = result.error().code == ErrorCode::Timeout;
@@ -142,6 +152,9 @@
                     if (auto document = toRecord(object))
                         documents.push_back(std::move(*document));
                 }
+                for (const ConfigurationRecord& it : documents)
+                    noteStored(it);
+                confirm(storedStamp(), askedAt);
                 m_sync.storeAnswered(documents, now);
                 reportStoreReachability(true);
             });
@@ -153,10 +166,16 @@
         if (!m_store)
             return;
         m_store->watch(m_format.kind, watch.name, watch.version, watch.timeout,
-            guarded([this, name = watch.name](const Result<StoredObject>& result) {
+            guarded([this, name = watch.name, askedAt = currentInstant(), stamp = storedStamp()](
+                        const Result<StoredObject>& result) {
                 run([&](Instant now) {
                     WatchEnd end = result ? WatchEnd::Unchanged : toWatchEnd(result.error());
-                    m_sync.watchAnswered(name, result ? toRecord(result.value()) : std::nullopt, now, end);
+                    auto document = result ? toRecord(result.value()) : std::nullopt;
+                    if (document)
+                        noteStored(*document);
+                    else if (end == WatchEnd::Unchanged)
+                        confirm(stamp, askedAt);
+                    m_sync.watchAnswered(name, document, now, end);
                     if (end == WatchEnd::Unchanged || end == WatchEnd::HistoryGone)
                         reportStoreReachability(true);
                     else
@@ -186,6 +205,8 @@
         m_documents[record.name] = std::move(document);
         publish();
         m_sync.accepted(record, currentInstant());
+        if (m_hooks.freshness)
+            m_hooks.freshness->setOwnStamp(m_sync.ledger().stamp(), currentInstant());
         log(LogLevel::Info, "configuration.in_force",
             { { "document", record.name }, { "era", versionEraOf(record.version) },
                 { "version", revisionOf(record.version) }, { "change", record.changeId } });
@@ -218,6 +239,27 @@
             reportStoreReachability(false);
     }
 
+    void noteStored(const ConfigurationRecord& record)
+    {
+        uint64_t& number = m_storedChanges[record.name];
+        number = std::max(number, record.changeNumber);
+    }
+
+    // Stamp of the newest configuration that the store has returned.
+    uint64_t storedStamp() const
+    {
+        uint64_t stamp = 0;
+        for (const auto& [name, number] : m_storedChanges)
+            stamp += number;
+        return stamp;
+    }
+
+    void confirm(uint64_t stamp, Instant askedAt)
+    {
+        if (m_hooks.freshness && stamp)
+            m_hooks.freshness->confirmedByStore(stamp, askedAt);
+    }
+
     void reportStoreReachability(bool isReachable)
     {
         if (m_hooks.storeCallFinished)
@@ -252,6 +294,7 @@
     ConfigurationFormat m_format;
     ConfigurationSync m_sync;
     std::map<std::string, std::shared_ptr<const Configuration>> m_documents; // applied documents by name
+    std::map<std::string, uint64_t> m_storedChanges; // highest change number that the store returned, by name
     std::shared_ptr<bool> m_alive;
 };
 
--- a/src/node/ConfigurationFile.cpp
+++ b/src/node/ConfigurationFile.cpp
@@ -69,11 +69,32 @@
     [](std::string_view text) { return parseWorkClass(text); },
     [](const WorkClass& value) { return std::string(toString(value)); } };
 
+const TextCodec<std::optional<WorkClass>> optionalWorkClassCodec { "text",
+    "critical, interactive, patient, background, or \"\"",
+    [](std::string_view text) -> std::optional<std::optional<WorkClass>> {
+        if (text.empty())
+            return std::optional<WorkClass>();
+        auto workClass = parseWorkClass(text);
+        return workClass ? std::optional(workClass) : std::nullopt;
+    },
+    [](const std::optional<WorkClass>& value) { return value ? std::string(toString(*value)) : std::string(); } };
+
+bool isOrganisationKey(std::string_view text)
+{
+    constexpr size_t maxKeyLength = 256;
+    return !text.empty() && text.size() <= maxKeyLength
+        && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
+const TextRule organisationKeyRule { "a text of 1 to 256 printable ASCII characters without spaces", &isOrganisationKey,
+    true };
+
 //-----------------------------------------------------------------------------
 // [SECTION] Keys
 //-----------------------------------------------------------------------------
 
 constexpr size_t maxServices = 4096;
+constexpr size_t maxOrganisations = 200'000;
 constexpr size_t maxRoutes = 4096; // most routes of one service
 constexpr size_t maxSplitServices = 16; // most services that one route splits its requests between
 constexpr size_t maxListElements = 32; // most elements of a list of methods or status codes
@@ -145,6 +166,7 @@
     section.textList("methods", route.methods, methodRule, maxListElements, "HTTP methods; empty: any.");
     section.flag("repeatable", route.repeatable, "Whether a request may reach an upstream more than once.");
     section.flag("internal", route.internal, "Whether only callers that name an internal service may use the route.");
+    section.flag("public", route.isPublic, "Whether callers need no key although organisations are declared.");
     section.coded("class", route.workClass, workClassCodec, Presence::Optional,
         "Class of work; decides the order when slots are short.");
     section.duration("deadline", route.deadline, { 1ms, 24h },
@@ -183,11 +205,25 @@
     section.sections("route", service.routes, maxRoutes, [](auto& route, Route& item) { describeRoute(route, item); });
 }
 
+void describeOrganisation(auto& section, Organisation& organisation)
+{
+    section.text(
+        "name", organisation.name, nameRule, Presence::Required, "Name of the organisation, unique in the fleet.");
+    section.textList("keys", organisation.keys, organisationKeyRule, maxListElements,
+        "Keys that its callers present as \"Authorization: Bearer KEY\"; each belongs to one organisation.");
+    section.real("rate", organisation.rate, { 0.0, 1e9 }, "Requests a second over the whole fleet; 0: no limit.");
+    section.real("burst", organisation.burst, { 0.0, 1e9 }, "Requests allowed beyond the rate at one time.");
+    section.coded("class", organisation.workClass, optionalWorkClassCodec, Presence::Optional,
+        "Class of work that precedes that of the route; empty: that of the route.");
+}
+
 void describeConfiguration(auto& section, Configuration& configuration)
 {
     section.text("name", configuration.name, nameRule, Presence::Optional, "Name of the document.");
     section.sections("service", configuration.services, maxServices,
         [](auto& service, Service& item) { describeService(service, item); });
+    section.sections("organisation", configuration.organisations, maxOrganisations,
+        [](auto& organisation, Organisation& item) { describeOrganisation(organisation, item); });
 }
 
 //-----------------------------------------------------------------------------
@@ -211,6 +247,7 @@
             checkService(configuration.services[i], fmt::format("service[{}]", i));
         for (size_t i = 0; i < configuration.services.size(); ++i)
             checkSplits(configuration.services[i], fmt::format("service[{}]", i));
+        checkOrganisations(configuration.organisations);
     }
 
 private:
@@ -249,6 +286,25 @@
         }
     }
 
+    // The errors do not show a key, which is a secret.
+    void checkOrganisations(std::span<const Organisation> organisations)
+    {
+        std::set<std::string> names;
+        std::set<std::string> keys;
+        for (size_t i = 0; i < organisations.size(); ++i) {
+            const Organisation& organisation = organisations[i];
+            std::string path = fmt::format("organisation[{}]", i);
+            if (areAccepted(path, { "name" }) && !names.insert(organisation.name).second)
+                m_context.report(
+                    path + ".name", fmt::format("\"{}\" a second time", organisation.name), "a unique name");
+            bool areUnique = true;
+            for (const std::string& key : organisation.keys)
+                areUnique = keys.insert(key).second && areUnique;
+            if (areAccepted(path, { "keys" }) && !areUnique)
+                m_context.report(path + ".keys", "a key a second time", "keys that no other organisation has");
+        }
+    }
+
     // Checks that the services a route is split between exist. Runs after the names of all services are collected.
     void checkSplits(const Service& service, const std::string& path)
     {
@@ -372,6 +428,7 @@
     Service& service = configuration.services.emplace_back();
     service.slots = 2; // smallest number of slots for which the default of shortWorkSlots is valid
     service.routes.emplace_back();
+    configuration.organisations.emplace_back();
     return listKeys(configuration);
 }
 
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -41,6 +41,8 @@
     , m_settings(std::move(settings))
     , m_random(randomId().low)
     , m_incarnation(randomId())
+    , m_freshness(std::make_shared<SharedFreshness>(m_settings.keyRevocationBound))
+    , m_freshnessKeeper(m_freshness, currentInstant())
     , m_executorServices(std::make_shared<ExecutorServices>())
 {
 }
@@ -126,6 +128,7 @@
 {
     ExecutorHooks hooks;
     hooks.running = m_running;
+    hooks.freshness = m_freshness;
     hooks.started = [this](Task& task) { startExecutorServices(task); };
     hooks.stopped = [services = m_executorServices] {
         services->timer.reset();
@@ -217,12 +220,14 @@
     hooks.offered = [budgets](const Service& service) { budgets->of(service).offered(currentInstant()); };
     hooks.allowRetry = [budgets](const Service& service) { return budgets->of(service).tryAcquire(currentInstant()); };
     hooks.configurationDigest = [this] { return m_configurationDigest.load(std::memory_order_relaxed); };
+    hooks.freshness = m_freshness;
     return hooks;
 }
 
 ConfigurationHooks ControlPlane::configurationHooks()
 {
     ConfigurationHooks hooks;
+    hooks.freshness = m_freshness;
     hooks.routesChanged = [this](const std::shared_ptr<const RouteTable>& routes) { onRoutes(routes); };
     hooks.digestChanged = [this](uint64_t digest) {
         m_configurationDigest = digest;
@@ -278,6 +283,8 @@
     onMembershipChanges();
     sendGossip();
     m_configuration->tick();
+    if (m_configuration->isReady() && m_freshnessKeeper.update(now))
+        m_configuration->readStore();
     if (m_audit)
         m_audit->tick(now);
     if (m_sweeper && m_routes && m_watchRole == WatchRole::Watcher)
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -9,6 +9,7 @@
 #include "core/CandidateCache.h"
 #include "core/TraceRecorder.h"
 #include "CrashSuspects.h"
+#include "FreshnessKeeper.h"
 #include "GossipSocket.h"
 #include "Metrics.h"
 #include "Node.h"
@@ -98,6 +99,8 @@
     std::unique_ptr<StoreClient> m_store; // null if the settings name no store
     std::unique_ptr<RelayClient> m_relay; // sends configuration queries to peers
     MetricsRegistry m_metrics;
+    std::shared_ptr<SharedFreshness> m_freshness;
+    FreshnessKeeper m_freshnessKeeper;
     std::unique_ptr<AuditTrail<StoreClient>> m_audit; // null if the settings name no store
     std::unique_ptr<ClaimSweeper<StoreClient>> m_sweeper; // null if the settings name no store
     std::unique_ptr<TraceRecorder> m_recorder; // null unless the settings name a trace file
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -93,6 +93,8 @@
     , m_startedAt(currentInstant())
     , m_services(std::make_shared<ExecutorServices>())
     , m_election(currentInstant())
+    , m_freshness(std::make_shared<SharedFreshness>(m_settings.keyRevocationBound))
+    , m_freshnessKeeper(m_freshness, m_startedAt)
     , m_upstream(m_settings.upstreamService, m_settings.upstreamAddress)
     , m_burstShare(m_startedAt, m_settings.isFleetFirstStart)
     , m_burstFrom(m_burstShare.availableFrom())
@@ -186,6 +188,7 @@
     if (m_adapter)
         hooks.headers = m_adapter->headers;
     hooks.rejectsWhenDegraded = true;
+    hooks.freshness = m_freshness;
     hooks.running = m_running;
     hooks.started = [this](Task& task) { startExecutorServices(task); };
     hooks.stopped = [services = m_services] {
@@ -285,6 +288,7 @@
         return isGranted;
     };
     hooks.configurationDigest = [this] { return m_configurationDigest.load(std::memory_order_relaxed); };
+    hooks.freshness = m_freshness;
     return hooks;
 }
 
@@ -303,6 +307,7 @@
         const NodeRecord* record = m_directory->find(node);
         return record ? record->relayAddress : std::string();
     };
+    hooks.freshness = m_freshness;
     hooks.accepted = [](const ConfigurationRecord&) {};
     hooks.refused = [](const ConfigurationRecord&, const std::string&) {};
     hooks.storeCallFinished = [this](bool isReachable) {
@@ -502,9 +507,13 @@
 {
     notice.isWatching = m_role == WatchRole::Watcher && m_isStoreReachable;
     notice.configurationDigest = m_configurationDigest;
+    Instant now = currentInstant();
+    notice.proof = m_freshness->proof(now);
+    if (auto it = m_echoes.find(peer.name); it != m_echoes.end())
+        notice.echo = it->second;
     m_relay->query(
         peer.relayAddress, std::move(notice),
-        [this, name = peer.name](const Result<RelayMessage>& result) { onReply(name, result); }, peerTimeout);
+        [this, name = peer.name, now](const Result<RelayMessage>& result) { onReply(name, result, now); }, peerTimeout);
 }
 
 void DirectoryControl::compareWith(const NodeRecord& peer, std::vector<NodeRecord> records)
@@ -571,7 +580,7 @@
         compareWith(peer);
 }
 
-void DirectoryControl::onReply(const std::string& peer, const Result<RelayMessage>& result)
+void DirectoryControl::onReply(const std::string& peer, const Result<RelayMessage>& result, Instant askedAt)
 {
     const auto* reply = result ? std::get_if<DirectoryReply>(&result.value()) : nullptr;
     if (!reply)
@@ -579,6 +588,9 @@
     Instant now = currentInstant();
     m_lastPeerContact = now;
     m_unresponsivePeers.erase(peer);
+    m_freshness->received(reply->proof, askedAt);
+    if (reply->question)
+        m_echoes[peer] = reply->question;
     m_configuration->digestSeen(peer, reply->configurationDigest);
     ReplyResult outcome = handleReply(*m_directory, *reply, now);
     if (outcome.isChanged)
@@ -593,11 +605,19 @@
     m_lastPeerContact = now;
     m_unresponsivePeers.erase(notice.sender);
     m_election.recordNotice(notice.sender, notice.isWatching, now);
+    Question& question = m_questions[notice.sender];
+    if (notice.echo && notice.echo == question.number)
+        m_freshness->received(notice.proof, question.askedAt);
     NoticeResult outcome = handleNotice(*m_directory, notice, now);
     if (outcome.isChanged)
         directoryChanged();
     m_configuration->digestSeen(notice.sender, notice.configurationDigest);
     outcome.reply.configurationDigest = m_configurationDigest;
+    outcome.reply.proof = m_freshness->proof(now);
+    if (m_freshness->isEnabled()) {
+        question = { m_random(), now };
+        outcome.reply.question = question.number;
+    }
     return std::move(outcome.reply);
 }
 
@@ -697,6 +717,8 @@
         = m_role == WatchRole::Watcher || m_configuration->isReady() || now - m_startedAt > storeFallbackDelay;
     if (mayReadStore)
         m_configuration->tick();
+    if (m_configuration->isReady() && m_freshnessKeeper.update(now))
+        m_configuration->readStore();
     m_departures->tick(now);
     sendNotices(now);
 }
@@ -851,6 +873,8 @@
     set("store_watching_count", "1 while this node watches the store.", m_role == WatchRole::Watcher ? 1 : 0);
     set("relay_dropped_count", "Relay connections closed because of invalid input.",
         static_cast<double>(m_node->relayDropCount()));
+    set("configuration_age_ms", "Age of the news that the configuration is the newest; -1: none.",
+        static_cast<double>(m_freshnessKeeper.ageMs(currentInstant())));
     setRunningMetrics(m_metrics, *m_running);
     set("log_lines_dropped_count", "Log lines dropped since the start.", static_cast<double>(droppedLogLines()));
     return m_metrics.print();
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -18,6 +18,7 @@
 #include "core/UpstreamRegistration.h"
 #include "CrashSuspects.h"
 #include "DepartureExchange.h"
+#include "FreshnessKeeper.h"
 #include "Metrics.h"
 #include "Node.h"
 #include "NodeControl.h"
@@ -46,6 +47,12 @@
         SourceHandle timer;
     };
 
+    // The last reply to the notices of a peer, which its next notice names.
+    struct Question {
+        uint64_t number = 0;
+        Instant askedAt {};
+    };
+
     // A peer whose last notices failed.
     struct UnresponsivePeer {
         Instant since {}; // time of the first failed notice
@@ -80,7 +87,7 @@
     void notifyRegion(const std::vector<NodeRecord>& records, bool requestsComparison = false);
     void compareWithLeftNodes(); // nodes that left recently may have restarted
     void compareWithOtherRegions(); // one random node of each
-    void onReply(const std::string& peer, const Result<RelayMessage>&);
+    void onReply(const std::string& peer, const Result<RelayMessage>&, Instant askedAt);
     DirectoryReply onNotice(const DirectoryNotice&);
     void directoryChanged(); // passes the new candidates and peers to the data plane
     void recordFleetSize(Instant now);
@@ -117,6 +124,10 @@
     std::unique_ptr<NodeDirectory> m_directory;
     WatchElection m_election;
     std::unique_ptr<ConfigurationDriver<StoreClient>> m_configuration;
+    std::shared_ptr<SharedFreshness> m_freshness;
+    FreshnessKeeper m_freshnessKeeper;
+    std::map<std::string, Question, std::less<>> m_questions; // to the peers that send notices
+    std::map<std::string, uint64_t, std::less<>> m_echoes; // numbers of the questions of the peers that get notices
     UpstreamRegistration m_upstream;
     std::unique_ptr<DepartureExchange> m_departures;
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
--- a/src/node/EntryAdmission.cpp
+++ b/src/node/EntryAdmission.cpp
@@ -31,8 +31,8 @@
     removeHeaders(m_head.headers, m_worker.m_hooks.headers.organisation);
     if (m_match.route->isPublic)
         return true;
-    const auto& isFresh = m_worker.m_hooks.isConfigurationFresh;
-    if (isFresh && !isFresh()) {
+    const auto& freshness = m_worker.m_hooks.freshness;
+    if (freshness && !freshness->mayAcceptKeys(currentInstant())) {
         refuseLocally(RefusalReason::KeyUnverified, "entry.key", {}, 1s);
         return false;
     }
@@ -47,6 +47,14 @@
     return true;
 }
 
+bool EntryExchange::isKeyHeld() const { return !m_head.key || m_worker.m_routes->organisations().holds(m_head.key); }
+
+void EntryExchange::receiveProof(const FreshnessProof& proof)
+{
+    if (const auto& freshness = m_worker.m_hooks.freshness)
+        freshness->received(proof, m_sentAt);
+}
+
 void EntryExchange::requestQuota()
 {
     const Organisation* organisation = m_routes->organisations().named(m_head.organisation);
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -44,7 +44,7 @@
     case RefusalReason::NoRoute:
         return SOUP_STATUS_NOT_FOUND;
     case RefusalReason::KeyUnknown:
-        return SOUP_STATUS_UNAUTHORIZED;
+        return refusal.outcome == Outcome::NotRun ? SOUP_STATUS_UNAUTHORIZED : SOUP_STATUS_BAD_GATEWAY;
     case RefusalReason::QuotaExceeded:
         return tooManyRequests;
     case RefusalReason::BodyTooLarge:
@@ -552,6 +552,8 @@
 
 void EntryExchange::sendTo(const Candidate& candidate)
 {
+    if (!isKeyHeld())
+        return refuseLocally(RefusalReason::KeyUnknown, "entry.key");
     m_upstream = candidate.upstream;
     m_node = candidate.node;
     m_plan->started(m_upstream);
@@ -622,6 +624,7 @@
 {
     Instant now = currentInstant();
     applyNotice(true);
+    receiveProof(head.proof);
     m_responseHeadReceived = true;
     m_worker.m_balancer->pathResult(m_node, true, now);
     m_worker.m_balancer->finished(m_upstream, head.load, now);
@@ -687,6 +690,7 @@
     m_worker.m_balancer->pathResult(m_node, true, now);
     m_worker.m_balancer->finished(m_upstream, refusal.load, now);
     applyNotice(false);
+    receiveProof(refusal.proof);
     m_call.reset();
     if (refusal.reason == RefusalReason::RateLimited && m_notice.waitMs < m_shortestWaitMs) {
         m_shortestWaitMs = m_notice.waitMs;
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -51,6 +51,7 @@
     bool rerouteByNewerConfiguration(); // false: there is no newer configuration, or no route in it
     bool parseOperation();
     bool checkLimits();
+    bool isKeyHeld() const; // in the newest configuration
     bool authorize(); // checks the caller's key; false: the request was refused
     void requestQuota(); // starts the request once its organisation's quota allows it, or refuses it
     void returnQuota(); // gives back what requestQuota() got, if the request has not run
@@ -64,6 +65,7 @@
     void pumpBody();
     void onNotice(UpstreamNotice&&);
     void applyNotice(bool isAnswered);
+    void receiveProof(const FreshnessProof&); // which the executor sent after it had received this request
     void onHead(ResponseHead&&);
     void onChunk(std::string&&);
     void onEnd();
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -6,6 +6,7 @@
 #include "HttpHeaders.h"
 #include "RelayClient.h"
 #include "Settings.h"
+#include "SharedFreshness.h"
 #include "Task.h"
 
 #include <mutex>
@@ -106,8 +107,7 @@
     std::function<void(const Service&)> offered; // called for each request of a caller, before its first attempt
     std::function<bool(const Service&)> allowRetry; // takes one retry from the service's retry budget; empty: no budget
     std::function<uint64_t()> configurationDigest; // digest sent along with each request
-    // Whether the configuration is certainly so new that a key in it may be accepted; empty: it always is.
-    std::function<bool()> isConfigurationFresh;
+    std::shared_ptr<SharedFreshness> freshness; // null: keys are accepted whatever the age of the configuration
     // Takes a request from the organisation's quota and calls back, at once or later; empty: there are no quotas.
     std::function<void(const Organisation&, std::function<void(QuotaDecision)>)> acquireQuota;
     // Gives back a request that was granted to the organisation and has not run.
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -9,6 +9,7 @@
 #include "core/Health.h"
 #include "core/StallDetector.h"
 #include "RelayServer.h"
+#include "SharedFreshness.h"
 #include "Task.h"
 #include "UpstreamClient.h"
 
@@ -122,6 +123,7 @@
     // Receives the result of each request that reached an upstream, for health monitoring.
     std::function<void(const std::string& upstream, const Sample&, Instant)> sample;
     CrashGate crashes;
+    std::shared_ptr<SharedFreshness> freshness; // passed on with responses; null: not known
     // The upstream process says in its responses that it is leaving.
     std::function<void(const UpstreamEndpoint&)> upstreamLeaving;
     RelayServer::Answer<TokenQuery, TokenReply> token; // if empty, a token is a random operation id of this incarnation
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -79,6 +79,7 @@
         return false;
     }
     m_upstream = it->second;
+    m_knewKey = m_routes->organisations().holds(head().key);
     m_executor.recordNotice(*m_upstream, m_exchange->context().notice);
     return true;
 }
@@ -128,6 +129,15 @@
     return false;
 }
 
+// A configuration that never held the key may be older than that of the entry, which has accepted it.
+bool ExecutorJob::checkKey()
+{
+    if (!m_knewKey || m_executor.m_routes->organisations().holds(head().key))
+        return true;
+    refuse(RefusalReason::KeyUnknown, "executor.key");
+    return false;
+}
+
 void ExecutorJob::receiveBody()
 {
     std::weak_ptr<ExecutorJob> weak = weak_from_this();
@@ -233,10 +243,17 @@
     return m_executor.report(m_upstream->endpoint.name).value_or(m_upstream->report(currentInstant()));
 }
 
+FreshnessProof ExecutorJob::proof() const
+{
+    const auto& freshness = m_executor.m_hooks.freshness;
+    return freshness ? freshness->proof(currentInstant()) : FreshnessProof {};
+}
+
 void ExecutorJob::respond(const StoredResponse& stored)
 {
     ResponseHead response = stored.head;
     response.load = loadReport();
+    response.proof = proof();
     response.bodyLength = static_cast<int64_t>(stored.body.size());
     sendNotice();
     m_exchange->sendHead(std::move(response));
@@ -264,8 +281,8 @@
 
 void ExecutorJob::dispatch()
 {
-    // Crashes may have been reported while the request was queued.
-    if (!screen()) {
+    // Crashes may have been reported, or the key taken away, while the request was queued.
+    if (!screen() || !checkKey()) {
         m_upstream->queue->finish(m_ticket, {}, false, currentInstant());
         m_executor.processQueue(m_upstream);
         return;
@@ -407,6 +424,7 @@
 {
     m_headSent = true;
     m_response.load = loadReport();
+    m_response.proof = proof();
     sendNotice();
     m_exchange->sendHead(m_response);
     if (!m_responseBuffer.empty())
@@ -663,6 +681,7 @@
         m_exchange->abort();
     } else {
         sendNotice();
+        refusal.proof = proof();
         m_exchange->refuse(std::move(refusal));
     }
     end();
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -27,6 +27,7 @@
     bool checkTarget(); // checks the state and the recent failures of the upstream
     bool checkState(); // checks whether this node is draining and whether the upstream accepts requests
     bool screen(); // checks for a query of death
+    bool checkKey(); // checks whether the caller's key was taken away since the request arrived; false: refused
     void receiveBody();
     void onChunk(std::string&&);
     void onBodyEnd();
@@ -64,6 +65,7 @@
     // Reason why the response must not be passed on: shed by the upstream, or not an answer to this request.
     std::optional<RefusalReason> responseRejectionReason() const;
     LoadReport loadReport() const;
+    FreshnessProof proof() const;
     void end(); // removes the job from the executor
 
     ExecutorBase& m_executor;
@@ -73,6 +75,7 @@
     const Route* m_route = nullptr;
     std::shared_ptr<LocalUpstream> m_upstream;
     std::shared_ptr<UpstreamCall> m_call;
+    bool m_knewKey = false; // the configuration at the arrival of the request held the caller's key
     TicketId m_ticket = 0; // 0 until the request is offered to the queue
     Instant m_deadline {};
     std::string m_body; // request body received before the dispatch
--- a/tests/ConfigurationFileTests.cpp
+++ b/tests/ConfigurationFileTests.cpp
@@ -324,3 +324,50 @@
     BOOST_REQUIRE(services.errors.size() == 1);
     BOOST_TEST(services.errors[0].keyPath == "service[1].name");
 }
+
+// Guards against organisations that lose a key or a limit between the file and the routes.
+BOOST_AUTO_TEST_CASE(readsOrganisations)
+{
+    std::string text = validText + R"(public = true
+
+[[organisation]]
+name = "archive"
+keys = ["first-key", "second-key"]
+rate = 2.5
+burst = 10.0
+class = "patient"
+
+[[organisation]]
+name = "court"
+keys = ["third-key"]
+)";
+    auto result = parseConfiguration(text, "main.toml");
+    BOOST_REQUIRE_MESSAGE(result.value, joined(result.errors));
+    BOOST_TEST(result.value->services[0].routes[0].isPublic);
+    BOOST_REQUIRE(result.value->organisations.size() == 2U);
+    Organisation expected { "archive", { "first-key", "second-key" }, 2.5, 10, WorkClass::Patient };
+    BOOST_TEST((result.value->organisations[0] == expected));
+    BOOST_TEST((result.value->organisations[1] == Organisation { "court", { "third-key" }, 0, 0, std::nullopt }));
+    auto printed = parseConfiguration(printConfiguration(*result.value), "printed.toml");
+    BOOST_REQUIRE(printed.value);
+    BOOST_TEST((printed.value->organisations == result.value->organisations));
+}
+
+// Guards against two organisations with one key or one name, and against an error that shows a key.
+BOOST_AUTO_TEST_CASE(refusesSharedKeysWithoutShowingThem)
+{
+    const std::string text = validText + R"(
+[[organisation]]
+name = "archive"
+keys = ["first-key"]
+
+[[organisation]]
+name = "court"
+keys = ["second-key", "first-key"]
+)";
+    checkRejected(text, "organisation[1].keys", "keys = [\"second-key\"");
+    checkRejected(replaced(replaced(text, ", \"first-key\"", ""), "\"court\"", "\"archive\""), "organisation[1].name",
+        "name = \"archive\"\nkeys = [\"second-key\"");
+    checkRejected(replaced(text, "\"second-key\", \"first-key\"", "\"a key\""), "organisation[1].keys[0]", "\"a key\"");
+    BOOST_TEST(joined(parseConfiguration(text, "main.toml").errors).find("first-key") == std::string::npos);
+}
--- a/tests/PlatformAdapterTests.cpp
+++ b/tests/PlatformAdapterTests.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
+#include <fmt/format.h>
 #include <fstream>
 #include <sstream>
 
@@ -122,6 +123,47 @@
     BOOST_TEST(!mesh().configuration.parseObject("{}"));
 }
 
+// Guards against organisations that lose a key or a limit on the way, and against a public route that asks for a key.
+BOOST_AUTO_TEST_CASE(decodesOrganisations)
+{
+    std::string text(validConfiguration);
+    text.insert(text.rfind('}'), R"(,"tenants":{"t1":{"api_keys":["k1","k2"],"priority":0,"rate_per_s":1.5,"burst":3},
+        "t2":{"api_keys":[]}})");
+    text.insert(text.find(R"("host":"hulo.example")"), R"("public":true,)");
+    auto result = mesh().configuration.parseText(text, "main");
+    BOOST_REQUIRE(result.value);
+    const auto& organisations = result.value->organisations;
+    BOOST_REQUIRE(organisations.size() == 2U);
+    Organisation expected { "t1", { "k1", "k2" }, 1.5, 3, WorkClass::Critical };
+    BOOST_TEST((organisations[0] == expected));
+    BOOST_TEST((organisations[1] == Organisation { "t2", {}, 0, 0, std::nullopt }));
+    for (const Service& service : result.value->services) {
+        for (const Route& route : service.routes)
+            BOOST_TEST(route.isPublic == (route.name == "r-b"));
+    }
+}
+
+// Guards against a configuration in force in which a key has two holders or a limit is no number, and against an error
+// that shows a key.
+BOOST_AUTO_TEST_CASE(refusesOrganisationsOfAnotherForm)
+{
+    for (std::string_view organisations : { R"({"t1":{"api_keys":["secret"]},"t2":{"api_keys":["secret"]}})",
+             R"({"t1":{"api_keys":["secret","secret"]}})", R"({"t1":{"api_keys":[""]}})", R"({"t1":{"api_keys":[7]}})",
+             R"({"t1":{"api_keys":"secret"}})", R"({"t1":{}})", R"({"t1":{"api_keys":["secret"],"rate_per_s":-1}})",
+             R"({"t1":{"api_keys":["secret"],"burst":"many"}})", R"([])", R"({"t1":7})" }) {
+        std::string text(validConfiguration);
+        text.insert(text.rfind('}'), fmt::format(R"(,"tenants":{})", organisations));
+        auto result = mesh().configuration.parseText(text, "main");
+        BOOST_TEST_CONTEXT(organisations)
+        {
+            BOOST_TEST(!result.value);
+            BOOST_REQUIRE(!result.errors.empty());
+            for (const FileError& error : result.errors)
+                BOOST_TEST(toString(error).find("secret") == std::string::npos);
+        }
+    }
+}
+
 // Guards against versions that are compared as texts, or by anything but the operator's own number.
 BOOST_AUTO_TEST_CASE(readsTheNumberOfAVersion)
 {
