Quotas of organisations over the whole fleet

Change: homes of each organisation by rendezvous hashing, one or four in each region, each with a token bucket of an equal part; entries ask near homes first; a home acts only while a watcher of its region knows it to live, and a part that moves is given up before it is taken. Decision code without I/O in core/Quota, carried out by QuotaClient and the executor. The log line of a refusal names the organisation.

--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -92,6 +92,8 @@
     auto socket = GossipSocket::open(m_task, m_settings.gossipListen, m_settings.gossipAdvertise,
         bytesOf(m_settings.fleetKey), [this](const GossipMessage& message, std::string_view from) {
             m_membership->received(message, from, currentInstant());
+            if (m_routes && !m_routes->organisations().isEmpty())
+                postToQuota([now = currentInstant()](QuotaHome& home) { home.contacted(now); });
             onMembershipChanges();
             sendGossip();
         });
@@ -134,12 +136,17 @@
         services->timer.reset();
         services->suspects.reset();
         services->operations.reset();
+        services->quota.reset();
         services->store.reset();
     };
     hooks.operations = operationGate(m_executorServices);
     hooks.token = [services = m_executorServices](TokenQuery&& query, const std::function<void(TokenReply)>& reply) {
         reply(services->operations->issueToken(query));
     };
+    hooks.quota
+        = [services = m_executorServices](const QuotaQuery& query, const std::function<void(QuotaReply)>& reply) {
+              reply(services->quota ? services->quota->answer(query, currentInstant()) : QuotaReply {});
+          };
     hooks.crashes = crashGate([services = m_executorServices] { return services->suspects.get(); });
     hooks.sample = [services = m_executorServices](const std::string& upstream, const Sample& sample, Instant now) {
         services->samples.push_back({ upstream, sample, now });
@@ -159,6 +166,9 @@
         m_executorServices->store = std::make_unique<StoreClient>(m_settings.storeUrl, m_settings.storeTimeout);
     m_executorServices->operations = std::make_unique<OperationService<StoreClient>>(
         m_incarnation, OperationLimits {}, m_executorServices->store.get());
+    // Nothing tells whether this node acted as a home before its start.
+    m_executorServices->quota
+        = std::make_unique<QuotaHome>(m_settings.nodeName, m_settings.location.region, false, currentInstant());
     m_executorServices->suspects = std::make_unique<CrashSuspects>(task,
         RelayIdentity { m_settings.fleetKey, m_settings.nodeName, m_incarnation }, m_settings.connectTimeout,
         crashSuspectsHooks());
@@ -221,6 +231,7 @@
     hooks.allowRetry = [budgets](const Service& service) { return budgets->of(service).tryAcquire(currentInstant()); };
     hooks.configurationDigest = [this] { return m_configurationDigest.load(std::memory_order_relaxed); };
     hooks.freshness = m_freshness;
+    hooks.quotaNodes = m_quotaNodes;
     return hooks;
 }
 
@@ -338,9 +349,32 @@
         if (services->suspects)
             services->suspects->setPeers(peers);
     });
+    updateQuotaNodes();
     refreshWatchRole();
 }
 
+void ControlPlane::postToQuota(std::function<void(QuotaHome&)> function)
+{
+    m_node->postToExecutor([services = m_executorServices, function = std::move(function)] {
+        if (services->quota)
+            function(*services->quota);
+    });
+}
+
+void ControlPlane::updateQuotaNodes()
+{
+    std::vector<QuotaNode> nodes;
+    std::set<std::string> regions;
+    m_membership->forEach([&](const NodeRecord& it) {
+        regions.insert(it.location.region);
+        if (it.status == NodeStatus::Alive || it.status == NodeStatus::Suspect)
+            nodes.push_back({ it.name, it.location.region, it.relayAddress });
+    });
+    auto shared = std::make_shared<const QuotaNodes>(std::move(nodes), regions.size(), quotaTerms(m_settings));
+    m_quotaNodes->set(shared);
+    postToQuota([shared, now = currentInstant()](QuotaHome& home) { home.setNodes(shared, now); });
+}
+
 CrashSuspects::Peers ControlPlane::crashPeers() const
 {
     CrashSuspects::Peers peers;
@@ -378,6 +412,8 @@
     m_node->postToExecutor([services = m_executorServices, routes] {
         if (services->operations)
             services->operations->setRoutes(routes);
+        if (services->quota)
+            services->quota->setRoutes(routes);
     });
     for (auto& [name, supervisor] : m_supervisors)
         supervisor->configure(routes->service(supervisor->announcement().service));
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -51,6 +51,7 @@
         std::unique_ptr<StoreClient> store;
         std::unique_ptr<OperationService<StoreClient>> operations;
         std::unique_ptr<CrashSuspects> suspects;
+        std::unique_ptr<QuotaHome> quota; // null while this node is stopping
         SourceHandle timer; // ticks the claims and posts the samples to the control task
         std::vector<UpstreamSample> samples; // collected since the last post to the control task
     };
@@ -76,6 +77,8 @@
     // Relay addresses of the other live nodes with upstreams of the same services, by service.
     CrashSuspects::Peers crashPeers() const;
     void refreshWatchRole();
+    void updateQuotaNodes();
+    void postToQuota(std::function<void(QuotaHome&)>); // runs on the executor's task, unless this node is stopping
     void onRoutes(const std::shared_ptr<const RouteTable>&);
     void onSamples(const std::vector<UpstreamSample>&);
     void onEndpointChanged(const std::string& upstream, UpstreamState from, UpstreamState to, double severity);
@@ -99,6 +102,7 @@
     std::unique_ptr<StoreClient> m_store; // null if the settings name no store
     std::unique_ptr<RelayClient> m_relay; // sends configuration queries to peers
     MetricsRegistry m_metrics;
+    std::shared_ptr<SharedQuotaNodes> m_quotaNodes = std::make_shared<SharedQuotaNodes>();
     std::shared_ptr<SharedFreshness> m_freshness;
     FreshnessKeeper m_freshnessKeeper;
     std::unique_ptr<AuditTrail<StoreClient>> m_audit; // null if the settings name no store
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -195,6 +195,7 @@
         services->timer.reset();
         services->suspects.reset();
         services->operations.reset();
+        services->quota.reset();
     };
     hooks.operations = operationGate(m_services);
     hooks.token = [services = m_services](TokenQuery&& query, const std::function<void(TokenReply)>& reply) {
@@ -207,6 +208,9 @@
             m_node->postToExecutor([answer = std::move(answer), reply] { reply(answer); });
         });
     };
+    hooks.quota = [services = m_services](const QuotaQuery& query, const std::function<void(QuotaReply)>& reply) {
+        reply(services->quota ? services->quota->answer(query, currentInstant()) : QuotaReply {});
+    };
     hooks.upstreamLeaving = [this](const UpstreamEndpoint& endpoint) {
         m_task.post([this, instance = endpoint.instance, startedAt = endpoint.processStartedAt] {
             if (m_upstream.applyDeparture({ instance, startedAt }))
@@ -234,6 +238,8 @@
 {
     m_services->operations
         = std::make_unique<OperationService<StoreClient>>(m_incarnation, OperationLimits {}, nullptr);
+    m_services->quota = std::make_unique<QuotaHome>(
+        m_settings.nodeName, m_settings.location.region, m_settings.isFleetFirstStart, m_startedAt);
     CrashSuspectsHooks hooks;
     hooks.crashed = [](const std::string& upstream) {
         log(LogLevel::Warning, "upstream.crashed", { { "upstream", upstream } });
@@ -289,6 +295,7 @@
     };
     hooks.configurationDigest = [this] { return m_configurationDigest.load(std::memory_order_relaxed); };
     hooks.freshness = m_freshness;
+    hooks.quotaNodes = m_quotaNodes;
     return hooks;
 }
 
@@ -361,6 +368,8 @@
                 return;
             }
             m_directory->merge(*record, currentInstant());
+            // Its record would have been removed if it had been declared lost, so nobody has taken over its parts.
+            postToQuota([now = currentInstant()](QuotaHome& home) { home.actFrom(now); });
         }
         m_isRegistering = true;
         m_store->put(kind, m_settings.nodeName, toJson(m_directory->self()), stored.value().version,
@@ -589,6 +598,8 @@
     m_lastPeerContact = now;
     m_unresponsivePeers.erase(peer);
     m_freshness->received(reply->proof, askedAt);
+    if (m_role == WatchRole::Watcher)
+        recordContact(peer, askedAt);
     if (reply->question)
         m_echoes[peer] = reply->question;
     m_configuration->digestSeen(peer, reply->configurationDigest);
@@ -606,15 +617,17 @@
     m_unresponsivePeers.erase(notice.sender);
     m_election.recordNotice(notice.sender, notice.isWatching, now);
     Question& question = m_questions[notice.sender];
-    if (notice.echo && notice.echo == question.number)
+    if (notice.echo && notice.echo == question.number) {
         m_freshness->received(notice.proof, question.askedAt);
+        recordContact(notice.sender, question.askedAt);
+    }
     NoticeResult outcome = handleNotice(*m_directory, notice, now);
     if (outcome.isChanged)
         directoryChanged();
     m_configuration->digestSeen(notice.sender, notice.configurationDigest);
     outcome.reply.configurationDigest = m_configurationDigest;
     outcome.reply.proof = m_freshness->proof(now);
-    if (m_freshness->isEnabled()) {
+    if (m_hasOrganisations) {
         question = { m_random(), now };
         outcome.reply.question = question.number;
     }
@@ -648,9 +661,39 @@
         removeRecord(lostNode.location.region, peer);
 }
 
+void DirectoryControl::postToQuota(std::function<void(QuotaHome&)> function)
+{
+    m_node->postToExecutor([services = m_services, function = std::move(function)] {
+        if (services->quota)
+            function(*services->quota);
+    });
+}
+
+void DirectoryControl::recordContact(const std::string& peer, Instant askedAt)
+{
+    const NodeRecord* record = m_directory->find(peer);
+    if (m_hasOrganisations && record && record->location.region == m_settings.location.region)
+        postToQuota([askedAt](QuotaHome& home) { home.contacted(askedAt); });
+}
+
+void DirectoryControl::updateQuotaNodes()
+{
+    std::vector<QuotaNode> nodes;
+    m_directory->forEachLive([&](const NodeRecord& it) {
+        nodes.push_back({ it.name, it.location.region, it.relayAddress });
+    });
+    std::set<std::string> regions;
+    for (const Location& it : m_settings.dataCentres)
+        regions.insert(it.region);
+    auto shared = std::make_shared<const QuotaNodes>(std::move(nodes), regions.size(), quotaTerms(m_settings));
+    m_quotaNodes->set(shared);
+    postToQuota([shared, now = currentInstant()](QuotaHome& home) { home.setNodes(shared, now); });
+}
+
 void DirectoryControl::directoryChanged()
 {
     recordFleetSize(currentInstant());
+    updateQuotaNodes();
     m_node->setCandidates(std::make_shared<const CandidateList>(m_directory->candidates()));
     CrashSuspects::Peers peers;
     peers[m_settings.upstreamService];
@@ -798,7 +841,10 @@
     m_node->postToExecutor([services = m_services, routes] {
         if (services->operations)
             services->operations->setRoutes(routes);
+        if (services->quota)
+            services->quota->setRoutes(routes);
     });
+    m_hasOrganisations = !routes->organisations().isEmpty();
 }
 
 //-----------------------------------------------------------------------------
@@ -815,6 +861,7 @@
         own.status = NodeStatus::Left;
         own.upstreams.clear();
     });
+    m_node->postToExecutor([services = m_services] { services->quota.reset(); });
     notifyRegion({ m_directory->self() });
     if (m_recordVersion)
         m_store->remove(recordKind(m_settings.location.region), m_settings.nodeName, m_recordVersion,
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -44,6 +44,7 @@
     struct ExecutorServices {
         std::unique_ptr<OperationService<StoreClient>> operations;
         std::unique_ptr<CrashSuspects> suspects;
+        std::unique_ptr<QuotaHome> quota; // null while this node is stopping
         SourceHandle timer;
     };
 
@@ -91,6 +92,9 @@
     DirectoryReply onNotice(const DirectoryNotice&);
     void directoryChanged(); // passes the new candidates and peers to the data plane
     void recordFleetSize(Instant now);
+    void updateQuotaNodes();
+    void postToQuota(std::function<void(QuotaHome&)>); // runs on the executor's task, unless this node is stopping
+    void recordContact(const std::string& peer, Instant askedAt); // the peer has answered a message sent at `askedAt`
     void recordNoticeFailure(const std::string& peer); // declares the peer lost after enough failures
     void sendNotices(Instant now);
 
@@ -128,6 +132,8 @@
     FreshnessKeeper m_freshnessKeeper;
     std::map<std::string, Question, std::less<>> m_questions; // to the peers that send notices
     std::map<std::string, uint64_t, std::less<>> m_echoes; // numbers of the questions of the peers that get notices
+    std::shared_ptr<SharedQuotaNodes> m_quotaNodes = std::make_shared<SharedQuotaNodes>();
+    bool m_hasOrganisations = false; // the configuration in force has some
     UpstreamRegistration m_upstream;
     std::unique_ptr<DepartureExchange> m_departures;
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
--- a/src/node/EntryAdmission.cpp
+++ b/src/node/EntryAdmission.cpp
@@ -58,24 +58,25 @@
 void EntryExchange::requestQuota()
 {
     const Organisation* organisation = m_routes->organisations().named(m_head.organisation);
-    const auto& acquire = m_worker.m_hooks.acquireQuota;
-    if (!organisation || !acquire)
+    if (!organisation || !m_worker.m_quota)
         return startRequest();
-    acquire(*organisation, [weak = weak_from_this()](const QuotaDecision& decision) {
+    m_worker.m_quota->acquire(*organisation, m_routes, [weak = weak_from_this()](const QuotaDecision& decision) {
         auto self = weak.lock();
         if (!self || self->m_finished || self->m_respondedLocally)
-            return; // the caller is gone, or was answered; what was granted is given back by its holder
+            return false; // the caller is gone, or was answered
         self->m_holdsQuota = decision.isGranted;
         if (decision.isGranted)
-            return self->startRequest();
-        self->refuseLocally(RefusalReason::QuotaExceeded, "entry.quota", {}, decision.retryAfter);
+            self->startRequest();
+        else
+            self->refuseLocally(RefusalReason::QuotaExceeded, "entry.quota", {}, decision.retryAfter);
+        return true;
     });
 }
 
 void EntryExchange::returnQuota()
 {
-    if (std::exchange(m_holdsQuota, false) && m_worker.m_hooks.returnQuota)
-        m_worker.m_hooks.returnQuota(m_head.organisation);
+    if (std::exchange(m_holdsQuota, false))
+        m_worker.m_quota->giveBack(m_head.organisation);
 }
 
 } // namespace Gooseberrymill
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -295,8 +295,8 @@
 {
     log(LogLevel::Warning, "request.refused",
         { { "request", publicId() }, { "service", m_head.service }, { "route", m_head.route },
-            { "upstream", m_upstream }, { "reason", toString(refusal.reason) }, { "step", refusal.step },
-            { "peer", refusal.peer }, { "outcome", toString(refusal.outcome) }, { "dispatched", refusal.dispatched },
+            { "organisation", m_head.organisation }, { "upstream", m_upstream },
+            { "reason", toString(refusal.reason) }, { "step", refusal.step }, { "peer", refusal.peer }, { "outcome", toString(refusal.outcome) }, { "dispatched", refusal.dispatched },
             { "retry_after_ms", refusal.retryAfterMs }, { "attempts", m_plan ? m_plan->attempts() : 0U },
             { "configuration_digest", m_head.configurationDigest }, { "elapsed_ms", millisSince(m_startedAt) } });
 }
--- a/src/node/EntryServer.cpp
+++ b/src/node/EntryServer.cpp
@@ -32,6 +32,8 @@
     , m_client(task.context(), std::move(identity), settings.connectTimeout, settings.relayIdleTimeout)
     , m_maxConnections(std::max(1U, settings.maxCallerConnections / std::max(1U, settings.workers)))
 {
+    if (m_hooks.quotaNodes)
+        m_quota.emplace(m_client, settings.location.region, m_hooks.quotaNodes);
 }
 
 EntryWorker::~EntryWorker()
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -4,6 +4,7 @@
 #include "core/Balancer.h"
 #include "core/DrainPlan.h"
 #include "HttpHeaders.h"
+#include "QuotaClient.h"
 #include "RelayClient.h"
 #include "Settings.h"
 #include "SharedFreshness.h"
@@ -93,12 +94,6 @@
     NoticeBook m_book; // guarded by m_mutex
 };
 
-// Answer to an organisation's request that may need a part of its quota.
-struct QuotaDecision {
-    bool isGranted = false;
-    Duration retryAfter {}; // if not granted: when the caller's turn comes
-};
-
 // Settings and callbacks by which the node connects its entry workers to the control plane. An empty callback is
 // skipped.
 struct EntryHooks {
@@ -108,10 +103,7 @@
     std::function<bool(const Service&)> allowRetry; // takes one retry from the service's retry budget; empty: no budget
     std::function<uint64_t()> configurationDigest; // digest sent along with each request
     std::shared_ptr<SharedFreshness> freshness; // null: keys are accepted whatever the age of the configuration
-    // Takes a request from the organisation's quota and calls back, at once or later; empty: there are no quotas.
-    std::function<void(const Organisation&, std::function<void(QuotaDecision)>)> acquireQuota;
-    // Gives back a request that was granted to the organisation and has not run.
-    std::function<void(const std::string& organisation)> returnQuota;
+    std::shared_ptr<const SharedQuotaNodes> quotaNodes; // homes of quotas; null: organisations have no quotas
 };
 
 class EntryExchange;
@@ -174,6 +166,7 @@
     EntryHooks m_hooks;
     std::unique_ptr<BalancerInterface> m_balancer;
     RelayClient m_client;
+    std::optional<QuotaClient> m_quota; // set if organisations have quotas
     std::shared_ptr<const RouteTable> m_routes;
     ObjectHandle<SoupServer> m_server;
     std::set<std::shared_ptr<EntryExchange>> m_exchanges;
--- a/src/node/Executor.cpp
+++ b/src/node/Executor.cpp
@@ -51,7 +51,7 @@
               [this](TokenQuery&& query, std::function<void(TokenReply)> reply) {
                   onToken(std::move(query), std::move(reply));
               },
-              m_hooks.configuration, m_hooks.crashes.notice, m_hooks.directory, m_hooks.departures })
+              m_hooks.configuration, m_hooks.crashes.notice, m_hooks.directory, m_hooks.departures, m_hooks.quota })
 {
 }
 
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -130,6 +130,7 @@
     RelayServer::Answer<ConfigurationQuery, ConfigurationReply> configuration;
     RelayServer::Answer<DirectoryNotice, DirectoryReply> directory;
     RelayServer::Answer<DepartureNotice, DepartureReply> departures;
+    RelayServer::Answer<QuotaQuery, QuotaReply> quota;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/node/RelayServer.cpp
+++ b/src/node/RelayServer.cpp
@@ -254,6 +254,8 @@
         m_handlers.directory(std::move(*directory), reply);
     else if (auto* departures = std::get_if<DepartureNotice>(&message); departures && m_handlers.departures)
         m_handlers.departures(std::move(*departures), reply);
+    else if (auto* quota = std::get_if<QuotaQuery>(&message); quota && m_handlers.quota)
+        m_handlers.quota(std::move(*quota), reply);
     else
         removePeer(peer);
 }
--- a/src/node/RelayServer.h
+++ b/src/node/RelayServer.h
@@ -68,6 +68,7 @@
         Answer<CrashNotice, CrashNoticeReply> crashes;
         Answer<DirectoryNotice, DirectoryReply> directory {};
         Answer<DepartureNotice, DepartureReply> departures {};
+        Answer<QuotaQuery, QuotaReply> quota {};
     };
 
     RelayServer(GMainContext*, RelayIdentity, Handlers);
