Requests go on from upstreams whose slots are all taken

Change: the executor returns a request that would wait longer than going on costs, before its body and as not run (SlotsTaken); the entry goes on to upstreams of its region that are not known to be full, once to another region if that saves time, and then queues where the wait is shortest. Only where balancing.triesOthersWhenFull is set, and where the news at the choice was old.

--- a/src/core/AdmissionQueue.cpp
+++ b/src/core/AdmissionQueue.cpp
@@ -380,6 +380,15 @@
     return refuse(RefusalReason::QueueFull, wait);
 }
 
+Duration AdmissionQueue::expectedWait(const AdmissionRequest& request, Instant now) const
+{
+    if (m_running.size() < m_limit.value())
+        return Duration::zero();
+    Waiting waiting { request.deadline, request.ticket, request.workKey, request.workClass,
+        medianServiceTime(request.workKey, now) };
+    return predictedWait(waiting);
+}
+
 AdmissionDecision AdmissionQueue::queueForRate(const Waiting& request, Duration wait, Instant now)
 {
     if (now + wait + highServiceTime(request.workKey, now) > request.deadline)
--- a/src/core/AdmissionQueue.h
+++ b/src/core/AdmissionQueue.h
@@ -93,6 +93,8 @@
     bool cancel(TicketId ticket, Instant now);
     std::optional<TicketId> takeReady(Instant now);
     std::optional<AdmissionRefusal> takeRefusal(Instant now);
+    // How long the request would wait for a slot if it were offered now; zero: it would be dispatched at once.
+    Duration expectedWait(const AdmissionRequest& request, Instant now) const;
     LoadReport report() const;
 
     void setRate(std::optional<double> perSecond, Instant now) { m_rate.setRate(perSecond, now); }
--- a/src/core/Balancer.cpp
+++ b/src/core/Balancer.cpp
@@ -365,6 +365,8 @@
         return nullptr;
     ServiceView& view = viewOf(request.service);
     view.lastUsed = now;
+    if (request.reach != BalanceReach::All)
+        return chooseFree(view, request, now);
     if (request.affinity) {
         if (const Candidate* candidate = chooseAffine(view, request, now))
             return candidate;
@@ -392,6 +394,22 @@
     return nullptr;
 }
 
+const Candidate* Balancer::chooseFree(const ServiceView& view, const BalanceRequest& request, Instant now)
+{
+    bool isInRegion = request.reach == BalanceReach::FreeInRegion;
+    for (size_t i = isInRegion ? 0 : firstRemoteTier; i < (isInRegion ? firstRemoteTier : tierCount); ++i) {
+        if (const Candidate* candidate = chooseInTier(view.tiers[i], request, Pass::Free, now))
+            return candidate;
+    }
+    return nullptr;
+}
+
+bool Balancer::hasFreshReport(std::string_view upstream, Instant now) const
+{
+    auto it = m_loads.find(upstream);
+    return it != m_loads.end() && it->second->isReported && now - it->second->reportedAt <= maxFreshReportAge;
+}
+
 // Whether requests are queued at each eligible upstream of the own region. At low request rates, reports are too old to
 // show that every slot is taken at this moment; a queue does show it. A short wait in a queue costs less than sending
 // the request to another region.
--- a/src/core/Balancer.h
+++ b/src/core/Balancer.h
@@ -35,6 +35,13 @@
 };
 using CandidateChanges = std::vector<ServiceCandidates>;
 
+// Which upstreams a request may go to.
+enum class BalanceReach : uint8_t {
+    All,
+    FreeInRegion, // those of the own region that are not known to be full
+    FreeElsewhere, // those of other regions that are not known to be full
+};
+
 // Properties of a request that influence the choice of an upstream.
 struct BalanceRequest {
     std::string_view service;
@@ -42,6 +49,7 @@
     bool repeatable = false;
     std::optional<Id128> affinity; // idempotency key; requests with equal keys prefer the same executor
     std::span<const std::string> exclude; // upstreams already tried
+    BalanceReach reach = BalanceReach::All;
 };
 
 // A load balancer: chooses an upstream and adjusts to load reports and connection failures.
@@ -144,6 +152,9 @@
     // The upstream takes no request before `until`; it stays a last resort. A time that has passed ends the pause.
     void pause(std::string_view upstream, Instant until);
 
+    // Whether the latest report of the upstream is so young that it tells whether a slot is free.
+    bool hasFreshReport(std::string_view upstream, Instant now) const;
+
     void setEntryCount(uint32_t count) { m_options.entryCount = count; }
     size_t stateBytes() const; // approximate memory used by load states and service views, in bytes
 
@@ -210,6 +221,7 @@
     const Candidate* chooseInTier(
         const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now);
     const Candidate* scanTier(const std::vector<Member>& tier, const BalanceRequest& request, Pass pass, Instant now);
+    const Candidate* chooseFree(const ServiceView& view, const BalanceRequest& request, Instant now);
     bool isRegionBacklogged(const ServiceView& view, const BalanceRequest& request, Instant now) const;
     const Candidate* chooseAffine(ServiceView& view, const BalanceRequest& request, Instant now);
     bool passesRampSampling(const Candidate& candidate);
--- a/src/core/RelayMessages.h
+++ b/src/core/RelayMessages.h
@@ -59,10 +59,10 @@
     // Since version 7.
     std::string organisation {}; // of the caller; empty: none
     KeyDigest key = 0; // that the caller presented; 0: none
-    bool mayReturnWhenFull = false; // the entry tries another upstream if all slots of this one are taken
+    uint32_t acceptableWaitMs = 0; // the entry tries another upstream rather than wait longer for a slot; 0: it waits
     template <class Archive, class Self> static void serializeExtension(Archive& archive, Self& self)
     {
-        archive(self.organisation, self.key, self.mayReturnWhenFull);
+        archive(self.organisation, self.key, self.acceptableWaitMs);
     }
 };
 
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -295,10 +295,11 @@
 {
     log(LogLevel::Warning, "request.refused",
         { { "request", publicId() }, { "service", m_head.service }, { "route", m_head.route },
-            { "organisation", m_head.organisation }, { "upstream", m_upstream },
-            { "reason", toString(refusal.reason) }, { "step", refusal.step }, { "peer", refusal.peer }, { "outcome", toString(refusal.outcome) }, { "dispatched", refusal.dispatched },
-            { "retry_after_ms", refusal.retryAfterMs }, { "attempts", m_plan ? m_plan->attempts() : 0U },
-            { "configuration_digest", m_head.configurationDigest }, { "elapsed_ms", millisSince(m_startedAt) } });
+            { "organisation", m_head.organisation }, { "upstream", m_upstream }, { "reason", toString(refusal.reason) },
+            { "step", refusal.step }, { "peer", refusal.peer }, { "outcome", toString(refusal.outcome) },
+            { "dispatched", refusal.dispatched }, { "retry_after_ms", refusal.retryAfterMs },
+            { "attempts", m_plan ? m_plan->attempts() : 0U }, { "configuration_digest", m_head.configurationDigest },
+            { "elapsed_ms", millisSince(m_startedAt) } });
 }
 
 void EntryExchange::logErrorResponse() const
@@ -560,6 +561,7 @@
     m_worker.m_balancer->started(m_upstream, currentInstant());
     m_head.upstream = m_upstream;
     m_head.deadlineMs = millisLeft(m_deadline);
+    setAcceptableWait();
     // A repeatable request with a body streams it at once, and the executor may dispatch it before the body ends. Any
     // other request waits for the executor's Continue before its body is sent.
     m_head.wantsContinue = !m_match.route->repeatable || !m_head.bodyLength;
@@ -799,11 +801,58 @@
         return;
     }
     // The refusal of the last attempt is more informative than NoUpstream.
-    if (!retryElsewhere(refusal))
+    bool isPlaced = refusal.reason == RefusalReason::SlotsTaken ? passOn(refusal) : retryElsewhere(refusal);
+    if (!isPlaced)
         respondRefusal(refusal);
     updatePause();
 }
 
+// The first choice goes by news that may be old, and only then the executor may return the request.
+void EntryExchange::setAcceptableWait()
+{
+    m_head.acceptableWaitMs = 0;
+    bool isFirst = !m_passOn.hasAsked();
+    bool mayGoOn = m_isBodyReplayable && !namesOperation() && !m_head.isLastChoice;
+    if (!m_worker.m_settings.triesOthersWhenFull || !mayGoOn)
+        return;
+    if (isFirst && m_worker.m_balancer->hasFreshReport(m_upstream, currentInstant()))
+        return;
+    Duration wait = m_passOn.acceptableWait(m_passOnStep, m_deadline - currentInstant());
+    m_head.acceptableWaitMs
+        = static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
+}
+
+bool EntryExchange::passOn(const Refusal& refusal)
+{
+    m_passOn.refused(m_upstream, std::chrono::milliseconds(refusal.retryAfterMs), m_passOnStep);
+    BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
+        m_plan->tried() };
+    const Candidate* next = nullptr;
+    m_passOnStep = m_passOn.next(m_deadline - currentInstant());
+    if (m_passOnStep == PassOnStep::Region) {
+        request.reach = BalanceReach::FreeInRegion;
+        next = m_worker.m_balancer->choose(request, currentInstant());
+        if (!next) {
+            m_passOn.regionExhausted();
+            m_passOnStep = m_passOn.next(m_deadline - currentInstant());
+        }
+    }
+    if (m_passOnStep == PassOnStep::OtherRegion) {
+        request.reach = BalanceReach::FreeElsewhere;
+        next = m_worker.m_balancer->choose(request, currentInstant());
+    }
+    if (!next) {
+        m_passOnStep = PassOnStep::Queue;
+        auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
+        auto it = std::ranges::find(candidates, m_passOn.shortest(), &Candidate::upstream);
+        next = it == candidates.end() ? nullptr : &*it;
+    }
+    if (!next)
+        return retryElsewhere(refusal);
+    resendTo(*next, refusal);
+    return true;
+}
+
 bool EntryExchange::retryElsewhere(const Refusal& refusal)
 {
     BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
@@ -819,7 +868,8 @@
 
 bool EntryExchange::hasLastResort(RefusalReason reason)
 {
-    return reason == RefusalReason::Degraded || reason == RefusalReason::RateLimited;
+    return reason == RefusalReason::Degraded || reason == RefusalReason::RateLimited
+        || reason == RefusalReason::SlotsTaken;
 }
 
 // Every upstream that was tried rejected the request because of its rate limit or recent failures. A healthy one whose
@@ -827,7 +877,8 @@
 // refusal does.
 const Candidate* EntryExchange::chooseLastResort()
 {
-    const std::string& upstream = m_soonestUpstream.empty() ? m_leastFailingUpstream : m_soonestUpstream;
+    const std::string& other = m_leastFailingUpstream.empty() ? m_passOn.shortest() : m_leastFailingUpstream;
+    const std::string& upstream = m_soonestUpstream.empty() ? other : m_soonestUpstream;
     if (std::exchange(m_head.isLastChoice, true) || upstream.empty() || m_dispatched)
         return nullptr;
     auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "AttemptPlan.h"
+#include "core/PassOnPlan.h"
 #include "EntryServer.h"
 
 namespace Gooseberrymill {
@@ -72,6 +73,8 @@
     void onRefusal(Refusal&&);
     void onCallFailed(const Error&, Outcome);
     void retryOrRespond(Refusal&&);
+    bool passOn(const Refusal&); // after SlotsTaken; false: no upstream is left
+    void setAcceptableWait();
     bool retryElsewhere(const Refusal&); // false: no upstream is left to try
     void resendTo(const Candidate&, const Refusal&);
     static bool hasLastResort(RefusalReason); // whether an upstream that refused for this reason may be tried once more
@@ -120,6 +123,8 @@
     Instant m_sentAt {}; // start of the current attempt
     bool m_isExecutorInOwnRegion = false; // whether the executor of the current attempt is in this entry's region
     uint32_t m_acceptTimeouts = 0; // attempts that ended by accept timeout; each one doubles the next timeout
+    PassOnPlan m_passOn;
+    PassOnStep m_passOnStep = PassOnStep::Region; // of the current attempt
     UpstreamNotice m_notice; // received in the current attempt; without a process: none
     std::string m_soonestUpstream; // rejected the request as RateLimited with the shortest wait
     uint32_t m_shortestWaitMs = UINT32_MAX; // the wait of m_soonestUpstream
--- a/src/node/EntryServer.h
+++ b/src/node/EntryServer.h
@@ -29,6 +29,7 @@
     virtual void abandoned(std::string_view upstream, Instant) = 0;
     virtual void pathResult(std::string_view node, bool reached, Instant) = 0;
     virtual void pause(std::string_view upstream, Instant until) = 0; // see Balancer
+    virtual bool hasFreshReport(std::string_view upstream, Instant now) const = 0; // see Balancer
 };
 
 // Implements BalancerInterface by a balancer of any type.
@@ -71,6 +72,13 @@
             m_balancer.pause(upstream, until);
     }
 
+    bool hasFreshReport(std::string_view upstream, Instant now) const override
+    {
+        if constexpr (requires { m_balancer.hasFreshReport(upstream, now); })
+            return m_balancer.hasFreshReport(upstream, now);
+        return true;
+    }
+
 private:
     Balancer m_balancer;
 };
--- a/src/node/Executor.h
+++ b/src/node/Executor.h
@@ -147,6 +147,7 @@
     virtual std::optional<TicketId> takeReady(Instant) = 0;
     virtual std::optional<AdmissionRefusal> takeRefusal(Instant) = 0;
     virtual LoadReport report() = 0;
+    virtual Duration expectedWait(const AdmissionRequest&, Instant) = 0; // see AdmissionQueue
     virtual void setRate(std::optional<double> perSecond, Instant) = 0; // see AdmissionQueue
     virtual Duration rateWait(Instant) = 0;
     virtual void reconfigure(uint32_t slots, const AdmissionPolicy&) = 0;
@@ -171,6 +172,12 @@
     std::optional<TicketId> takeReady(Instant now) override { return m_queue.takeReady(now); }
     std::optional<AdmissionRefusal> takeRefusal(Instant now) override { return m_queue.takeRefusal(now); }
     LoadReport report() override { return m_queue.report(); }
+    Duration expectedWait(const AdmissionRequest& request, Instant now) override
+    {
+        if constexpr (requires { m_queue.expectedWait(request, now); })
+            return m_queue.expectedWait(request, now);
+        return {};
+    }
     void setRate(std::optional<double> perSecond, Instant now) override
     {
         if constexpr (requires { m_queue.setRate(perSecond, now); })
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -101,7 +101,13 @@
         refuse(RefusalReason::RateLimited, "executor.rate", wait);
         return false;
     }
-    return true;
+    if (!head().acceptableWaitMs || isOperation())
+        return true;
+    wait = m_upstream->queue->expectedWait(admissionRequest(), currentInstant());
+    if (wait <= std::chrono::milliseconds(head().acceptableWaitMs))
+        return true;
+    refuse(RefusalReason::SlotsTaken, "executor.slots", wait);
+    return false;
 }
 
 bool ExecutorJob::checkState()
@@ -263,12 +269,16 @@
     end();
 }
 
+AdmissionRequest ExecutorJob::admissionRequest() const
+{
+    return { m_ticket, m_route->workClass, workKeyOf(*m_service, *m_route), m_deadline, head().isLastChoice };
+}
+
 void ExecutorJob::admit()
 {
     Instant now = currentInstant();
     m_ticket = ++m_executor.m_lastTicket;
-    AdmissionDecision decision = m_upstream->queue->offer(
-        { m_ticket, m_route->workClass, workKeyOf(*m_service, *m_route), m_deadline, head().isLastChoice }, now);
+    AdmissionDecision decision = m_upstream->queue->offer(admissionRequest(), now);
     if (decision.verdict == AdmissionVerdict::Dispatch)
         dispatch();
     else if (decision.verdict == AdmissionVerdict::Queued)
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -34,6 +34,7 @@
     void checkGates(); // screens the request, then consults the operation gate or admits the request
     void onDecision(GateDecision&&);
     void respond(const StoredResponse&);
+    AdmissionRequest admissionRequest() const;
     void admit(); // dispatches or queues the request
     void onHead(ResponseHead&&);
     void onResponseChunk(std::string&&);
