A home that was not replaced grants quotas at once after its restart

Cause: QuotaHome dated its gains from the moment at which a replaced process may act, so a node whose record showed that nobody had replaced it still granted nothing for 5 s. Change: the gains count from the start; actFrom() decides alone. Result: homeThatWasNotReplacedGoesOn fails before (0 of 10 granted), passes.

--- a/src/core/Quota.cpp
+++ b/src/core/Quota.cpp
@@ -169,7 +169,7 @@
     , m_startsFull(startsFull)
     , m_actsFrom(startsFull ? now : now + returnDelay)
     , m_contactAt(now)
-    , m_gainsFrom(m_actsFrom)
+    , m_gainsFrom(now)
 {
 }
 
--- a/tests/QuotaTests.cpp
+++ b/tests/QuotaTests.cpp
@@ -423,6 +423,19 @@
     BOOST_TEST(grantedAfter(false, 6s) <= 2U);
 }
 
+// Guards against quotas that nobody grants for seconds after all processes were killed and started again: a node whose
+// record shows that nobody has replaced it goes on at once.
+BOOST_AUTO_TEST_CASE(homeThatWasNotReplacedGoesOn)
+{
+    auto nodes = std::make_shared<const QuotaNodes>(std::vector<QuotaNode> { { "a", "north", "a" } }, 1, exactTerms);
+    QuotaHome home("a", "north", false, start);
+    home.setRoutes(routesWith(organisationWith(10, 10)));
+    home.setNodes(nodes, start);
+    BOOST_TEST(home.answer({ "archive", 1, 0 }, start + 1s).granted == 0U);
+    home.actFrom(start + 1s);
+    BOOST_TEST(home.answer({ "archive", 100, 0 }, start + 2s).granted == 10U);
+}
+
 // Guards against a home that acts while it is cut off, and perhaps replaced.
 BOOST_AUTO_TEST_CASE(homeWithoutContactGrantsNothing)
 {
