Mend what two reviews found in keys, freshness and quotas

Cause (by reading and probes of reviewers who did not write the parts): a key that moves to another organisation let a waiting request run under the old name; a request without a key could change to a route that needs one; the stamp rose before every task used the configuration; a document that cannot be read was confirmed as old; a restored store revived an old configuration; KeyUnknown could say not run after an attempt. Quotas: parts given back piled up at entries, buckets created late were full, the stock counted nodes and not entries, accounts were never dropped, callers returned together, a caller that left cost its part. Change: the holder of a key is compared by name; checkAuthorization() before each attempt; the stamp follows the last task; unreadable documents confirm nothing; the highest stamp heard of counts; parts given back go to the home; buckets fill from the moment a node may have become their home; idle accounts are dropped; only watchers prove contact.

--- a/src/core/ConfigurationFreshness.cpp
+++ b/src/core/ConfigurationFreshness.cpp
@@ -20,15 +20,15 @@
 
 void ConfigurationFreshness::setOwnStamp(uint64_t stamp, Instant)
 {
-    m_ownStamp = stamp;
+    m_ownStamp = std::max(m_ownStamp, stamp);
     if (m_latest && m_latest->stamp <= m_ownStamp)
         m_covered = m_latest;
 }
 
-// The store may have come back from an older copy. Then it holds nothing that the own configuration lacks.
+// The store may have come back from an older copy. Then the newest configuration is one that this node has heard of.
 void ConfigurationFreshness::confirmedByStore(uint64_t stamp, Instant askedAt)
 {
-    learn({ std::max(stamp, m_ownStamp), askedAt });
+    learn({ std::max({ stamp, m_ownStamp, m_highestStamp }), askedAt });
 }
 
 void ConfigurationFreshness::received(const FreshnessProof& proof, Instant askedAt)
@@ -39,6 +39,7 @@
 
 void ConfigurationFreshness::learn(const Fact& fact)
 {
+    m_highestStamp = std::max(m_highestStamp, fact.stamp);
     if (!m_latest || fact.at > m_latest->at)
         m_latest = fact;
     bool isCovered = fact.stamp <= m_ownStamp;
--- a/src/core/ConfigurationFreshness.h
+++ b/src/core/ConfigurationFreshness.h
@@ -32,6 +32,7 @@
     // [SECTION] Output
     bool mayAcceptKeys(Instant now) const;
     bool shouldAskStore(Instant now) const; // the fact grows old, and no message of another node has renewed it
+    bool isBehind() const { return m_highestStamp > m_ownStamp; } // other nodes or the store know a newer configuration
     FreshnessProof proof(Instant now) const; // to be passed on
     std::optional<Duration> age(
         Instant now) const; // of the fact that covers the own configuration; empty: there is none
@@ -46,6 +47,7 @@
 
     Duration m_bound;
     uint64_t m_ownStamp = 0;
+    uint64_t m_highestStamp = 0; // ever heard of
     std::optional<Fact> m_latest; // may be about a configuration that this node does not have yet
     std::optional<Fact> m_covered; // the latest one whose stamp the own configuration reaches
 };
--- a/src/core/DirectorySync.h
+++ b/src/core/DirectorySync.h
@@ -29,10 +29,11 @@
 
     // Since version 7.
     FreshnessProof proof {}; // of the sender
+    bool isWatcher = false; // the sender has the role of a watcher, whether or not the store answers it
     uint64_t echo = 0; // the `question` of the last reply that the sender got from the receiver
     template <class Archive, class Self> static void serializeExtension(Archive& archive, Self& self)
     {
-        archive(self.proof, self.echo);
+        archive(self.proof, self.isWatcher, self.echo);
     }
 };
 
--- a/src/core/Organisations.cpp
+++ b/src/core/Organisations.cpp
@@ -21,11 +21,16 @@
 
 const Organisation* OrganisationTable::find(std::string_view key) const
 {
-    auto it = m_byKey.find(digestOfKey(key));
-    if (it == m_byKey.end())
-        return nullptr;
+    const Organisation* found = holder(digestOfKey(key));
     // Another key may have the same digest.
-    return std::ranges::find(it->second->keys, key) == it->second->keys.end() ? nullptr : it->second;
+    bool isHeld = found && std::ranges::find(found->keys, key) != found->keys.end();
+    return isHeld ? found : nullptr;
+}
+
+const Organisation* OrganisationTable::holder(KeyDigest digest) const
+{
+    auto it = m_byKey.find(digest);
+    return it == m_byKey.end() ? nullptr : it->second;
 }
 
 const Organisation* OrganisationTable::named(std::string_view name) const
--- a/src/core/Organisations.h
+++ b/src/core/Organisations.h
@@ -32,7 +32,7 @@
     size_t size() const { return m_byName.size(); }
     const Organisation* find(std::string_view key) const; // null: no organisation holds the key
     const Organisation* named(std::string_view name) const; // null: there is no such organisation
-    bool holds(KeyDigest digest) const { return m_byKey.contains(digest); } // some organisation holds the key
+    const Organisation* holder(KeyDigest) const; // null: no organisation holds the key
 
 private:
     std::unordered_map<KeyDigest, const Organisation*> m_byKey;
--- a/src/core/Quota.cpp
+++ b/src/core/Quota.cpp
@@ -109,7 +109,8 @@
 uint32_t QuotaNodes::stockOfEntry(const Organisation& organisation) const
 {
     double allowed = m_terms.overage * requestsInWindow(organisation, m_terms) + m_terms.slack;
-    return static_cast<uint32_t>(allowed / 2 / static_cast<double>(std::max<size_t>(1, m_size)));
+    size_t entries = std::max<size_t>(1, m_size) * std::max(1U, m_terms.entriesPerNode);
+    return static_cast<uint32_t>(allowed / 2 / static_cast<double>(entries));
 }
 
 //-----------------------------------------------------------------------------
@@ -173,23 +174,29 @@
 {
 }
 
-// A node that has gone leaves its parts to others, perhaps to this node.
+// A node that has gone leaves its parts to others, perhaps to this node. Any change may make this node the home of
+// other organisations, whose buckets then fill from now on.
 void QuotaHome::setNodes(std::shared_ptr<const QuotaNodes> nodes, Instant now)
 {
     bool hasLost = m_nodes && std::ranges::any_of(m_nodes->nodesIn(m_region), [&](const QuotaNode& it) {
         auto known = nodes->nodesIn(m_region);
         return std::ranges::find(known, it.name, &QuotaNode::name) == known.end();
     });
-    if (hasLost) {
-        m_gainsFrom = std::max(m_gainsFrom, now + takeOverDelay);
+    if (m_nodes) {
+        m_gainsFrom = std::max(m_gainsFrom, hasLost ? now + takeOverDelay : now);
         m_startsFull = false;
     }
     m_nodes = std::move(nodes);
+    m_hasKnownOthers = m_hasKnownOthers || m_nodes->nodesIn(m_region).size() > 1;
     dropForeignBuckets();
 }
 
-void QuotaHome::setRoutes(std::shared_ptr<const RouteTable> routes)
+void QuotaHome::setRoutes(std::shared_ptr<const RouteTable> routes, Instant now)
 {
+    if (m_routes) {
+        m_gainsFrom = std::max(m_gainsFrom, now);
+        m_startsFull = false;
+    }
     m_routes = std::move(routes);
     dropForeignBuckets();
 }
@@ -209,6 +216,7 @@
 {
     m_actsFrom = from;
     m_gainsFrom = std::max(m_gainsFrom, from);
+    m_startsFull = false;
 }
 
 void QuotaHome::contacted(Instant askedAt)
@@ -227,8 +235,7 @@
 {
     if (!m_nodes || !m_routes || now < m_actsFrom)
         return false;
-    bool isAlone = m_nodes->nodesIn(m_region).size() <= 1;
-    return isAlone || now - m_contactAt <= contactLifetime;
+    return !m_hasKnownOthers || now - m_contactAt <= contactLifetime;
 }
 
 QuotaReply QuotaHome::answer(const QuotaQuery& query, Instant now)
@@ -236,7 +243,9 @@
     if (!isActing(now))
         return {};
     const Organisation* organisation = m_routes->organisations().named(query.organisation);
-    if (!organisation || !hasQuota(*organisation))
+    if (organisation && !hasQuota(*organisation))
+        return { query.wanted, 0 }; // the entry's configuration is older
+    if (!organisation)
         return {};
     // A bucket is kept only while this node is a home, which saves the ranking of all nodes.
     if (!m_buckets.contains(query.organisation) && !m_nodes->isHome(m_node, m_region, *organisation))
@@ -271,14 +280,18 @@
 {
     uint32_t n = std::min(m_waiting, m_tokens);
     m_tokens -= n;
-    uint32_t reused = std::min(m_waiting - n, m_returned);
-    m_returned -= reused;
-    m_waiting -= n + reused;
+    m_waiting -= n;
     if (!m_waiting) {
         m_isInRound = m_isInRound && m_isAsking;
         m_isExhausted = false;
     }
-    return n + reused;
+    return n;
+}
+
+void QuotaStock::refuseAll()
+{
+    m_waiting = 0;
+    m_isExhausted = false;
 }
 
 // Near homes first, in random order, then a few in other regions.
@@ -323,7 +336,7 @@
 void QuotaStock::answered(const QuotaReply& reply, Instant now)
 {
     m_isAsking = false;
-    m_tokens += reply.granted;
+    m_tokens = std::min(m_tokens + reply.granted, m_waiting + m_target);
     Home& home = m_homes[m_asked];
     if (reply.granted)
         return;
--- a/src/core/Quota.h
+++ b/src/core/Quota.h
@@ -27,6 +27,7 @@
     Duration window = 5s;
     double overage = 0; // share
     uint32_t slack = 0; // requests
+    uint32_t entriesPerNode = 1;
 };
 
 inline bool hasQuota(const Organisation& organisation) { return organisation.rate > 0; }
@@ -114,7 +115,7 @@
 
     // [SECTION] Input
     void setNodes(std::shared_ptr<const QuotaNodes>, Instant now);
-    void setRoutes(std::shared_ptr<const RouteTable>); // with the organisations
+    void setRoutes(std::shared_ptr<const RouteTable>, Instant now); // with the organisations
     void actFrom(Instant); // this process may hold the parts of its node from then on
     void contacted(Instant askedAt); // a node that watches over the region has answered a message sent at `askedAt`
 
@@ -129,10 +130,11 @@
 
     std::string m_node;
     std::string m_region;
-    bool m_startsFull;
+    bool m_startsFull; // nobody can have granted anything yet
+    bool m_hasKnownOthers = false; // another node of the region was live once
     Instant m_actsFrom;
     Instant m_contactAt; // latest proof that a watcher knew this node to live
-    Instant m_gainsFrom; // a part that this node has taken over from another one may be granted from then on
+    Instant m_gainsFrom; // from then on a part fills that this node may have taken over from another one
     std::shared_ptr<const QuotaNodes> m_nodes;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, QuotaBucket, std::less<>> m_buckets; // by organisation
@@ -152,14 +154,15 @@
 // What one entry holds of one organisation's quota, and whom it asks for more. One query is under way at a time.
 class QuotaStock {
 public:
-    explicit QuotaStock(uint64_t seed)
+    explicit QuotaStock(uint32_t seed)
         : m_random(seed)
     {
     }
 
     // [SECTION] Input
     void want() { ++m_waiting; } // a request waits for a token
-    void giveBack() { ++m_returned; } // a request that had a token did not run
+    void giveBack() { ++m_returned; } // a request that had a token did not run; the next home that is asked gets it
+    void refuseAll(); // nobody can be asked
     void answered(const QuotaReply&, Instant now);
     void failed(Instant now); // the home that was asked last did not answer
 
@@ -180,10 +183,10 @@
 
     bool startRound(const QuotaNodes&, std::string_view region, const Organisation&);
 
-    std::mt19937_64 m_random;
+    std::minstd_rand m_random; // small, as there is one for each organisation
     uint32_t m_waiting = 0;
     uint32_t m_tokens = 0; // granted and not used
-    uint32_t m_returned = 0; // given back by requests, to be used again or returned to a home
+    uint32_t m_returned = 0; // given back by requests
     bool m_isAsking = false;
     std::string m_asked; // home of the query under way
     uint32_t m_target = 0; // tokens to hold when nobody waits
--- a/src/core/RefusalOutcome.h
+++ b/src/core/RefusalOutcome.h
@@ -22,7 +22,6 @@
     case RefusalReason::NoRoute:
     case RefusalReason::BodyTooLarge:
     case RefusalReason::KeyReused:
-    case RefusalReason::KeyUnknown:
         return true;
     default:
         return false;
--- a/src/node/ConfigurationDriver.h
+++ b/src/node/ConfigurationDriver.h
@@ -15,7 +15,8 @@
 namespace Gooseberrymill {
 
 struct ConfigurationHooks {
-    std::function<void(std::shared_ptr<const RouteTable>)> routesChanged; // the applied set of documents changed
+    // The applied set of documents changed. `inUse` must be destroyed once every task uses the new routes.
+    std::function<void(std::shared_ptr<const RouteTable>, std::shared_ptr<void> inUse)> routesChanged;
     std::function<void(uint64_t digest)> digestChanged; // digest of all applied documents
     std::function<std::string(std::string_view node)> relayAddress; // returns an empty string when the node is unknown
     std::function<void(const ConfigurationRecord&)> accepted; // a document was applied
@@ -65,7 +66,6 @@
         run([&](Instant now) { m_sync.tick(now); });
     }
 
-    // Answers a peer's query with the documents that are newer than its own.
     // Reads the store once, outside the schedule of the reads, for a node whose knowledge of the newest configuration
     // grows old.
     void readStore()
@@ -73,6 +73,7 @@
         run([&](Instant now) { m_sync.readSoon(now); });
     }
 
+    // Answers a peer's query with the documents that are newer than its own.
     ConfigurationReply answer(ConfigurationQuery query) const
     {
         numberChanges(query.held);
@@ -154,6 +155,7 @@
                 }
                 for (const ConfigurationRecord& it : documents)
                     noteStored(it);
+                m_hasUnreadable = documents.size() != result.value().size();
                 confirm(storedStamp(), askedAt);
                 m_sync.storeAnswered(documents, now);
                 reportStoreReachability(true);
@@ -173,7 +175,9 @@
                     auto document = result ? toRecord(result.value()) : std::nullopt;
                     if (document)
                         noteStored(*document);
-                    else if (end == WatchEnd::Unchanged)
+                    else if (result)
+                        m_hasUnreadable = true;
+                    else if (end == WatchEnd::Unchanged && m_storedChanges.size() == 1)
                         confirm(stamp, askedAt);
                     m_sync.watchAnswered(name, document, now, end);
                     if (end == WatchEnd::Unchanged || end == WatchEnd::HistoryGone)
@@ -203,10 +207,8 @@
         document->changeId = record.changeId;
         document->author = record.author;
         m_documents[record.name] = std::move(document);
-        publish();
         m_sync.accepted(record, currentInstant());
-        if (m_hooks.freshness)
-            m_hooks.freshness->setOwnStamp(m_sync.ledger().stamp(), currentInstant());
+        publish();
         log(LogLevel::Info, "configuration.in_force",
             { { "document", record.name }, { "era", versionEraOf(record.version) },
                 { "version", revisionOf(record.version) }, { "change", record.changeId } });
@@ -256,7 +258,7 @@
 
     void confirm(uint64_t stamp, Instant askedAt)
     {
-        if (m_hooks.freshness && stamp)
+        if (m_hooks.freshness && stamp && !m_hasUnreadable)
             m_hooks.freshness->confirmedByStore(stamp, askedAt);
     }
 
@@ -273,7 +275,11 @@
         std::vector<std::shared_ptr<const Configuration>> documents;
         for (const auto& [name, document] : m_documents)
             documents.push_back(document);
-        m_hooks.routesChanged(std::make_shared<const RouteTable>(std::move(documents)));
+        auto setStamp = [freshness = m_hooks.freshness, stamp = m_sync.ledger().stamp()](void*) {
+            if (freshness)
+                freshness->setOwnStamp(stamp, currentInstant());
+        };
+        m_hooks.routesChanged(std::make_shared<const RouteTable>(std::move(documents)), { nullptr, setStamp });
     }
 
     std::optional<ConfigurationRecord> toRecord(const StoredObject& object) const
@@ -294,6 +300,7 @@
     ConfigurationFormat m_format;
     ConfigurationSync m_sync;
     std::map<std::string, std::shared_ptr<const Configuration>> m_documents; // applied documents by name
+    bool m_hasUnreadable = false; // the store holds a document that this node cannot read, and so may lack a change
     std::map<std::string, uint64_t> m_storedChanges; // highest change number that the store returned, by name
     std::shared_ptr<bool> m_alive;
 };
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -239,7 +239,9 @@
 {
     ConfigurationHooks hooks;
     hooks.freshness = m_freshness;
-    hooks.routesChanged = [this](const std::shared_ptr<const RouteTable>& routes) { onRoutes(routes); };
+    hooks.routesChanged = [this](const std::shared_ptr<const RouteTable>& routes, const std::shared_ptr<void>& inUse) {
+        onRoutes(routes, inUse);
+    };
     hooks.digestChanged = [this](uint64_t digest) {
         m_configurationDigest = digest;
         m_membership->setConfigurationDigest(digest);
@@ -403,17 +405,17 @@
         audit(AuditEventKind::WatchTakeover, "", m_settings.location.dataCentre, "this node watches the store");
 }
 
-void ControlPlane::onRoutes(const std::shared_ptr<const RouteTable>& routes)
+void ControlPlane::onRoutes(const std::shared_ptr<const RouteTable>& routes, const std::shared_ptr<void>& inUse)
 {
     m_routes = routes;
     if (m_recorder)
         m_recorder->setRoutes(routes);
-    m_node->setRoutes(routes);
+    m_node->setRoutes(routes, inUse);
     m_node->postToExecutor([services = m_executorServices, routes] {
         if (services->operations)
             services->operations->setRoutes(routes);
         if (services->quota)
-            services->quota->setRoutes(routes);
+            services->quota->setRoutes(routes, currentInstant());
     });
     for (auto& [name, supervisor] : m_supervisors)
         supervisor->configure(routes->service(supervisor->announcement().service));
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -79,7 +79,7 @@
     void refreshWatchRole();
     void updateQuotaNodes();
     void postToQuota(std::function<void(QuotaHome&)>); // runs on the executor's task, unless this node is stopping
-    void onRoutes(const std::shared_ptr<const RouteTable>&);
+    void onRoutes(const std::shared_ptr<const RouteTable>&, const std::shared_ptr<void>& inUse);
     void onSamples(const std::vector<UpstreamSample>&);
     void onEndpointChanged(const std::string& upstream, UpstreamState from, UpstreamState to, double severity);
     Result<void> onAnnouncement(const Announcement&);
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -302,7 +302,9 @@
 ConfigurationHooks DirectoryControl::configurationHooks()
 {
     ConfigurationHooks hooks;
-    hooks.routesChanged = [this](const std::shared_ptr<const RouteTable>& routes) { onRoutes(routes); };
+    hooks.routesChanged = [this](const std::shared_ptr<const RouteTable>& routes, const std::shared_ptr<void>& inUse) {
+        onRoutes(routes, inUse);
+    };
     hooks.digestChanged = [this](uint64_t digest) {
         m_configurationDigest = digest;
         if (m_role != WatchRole::Watcher)
@@ -400,6 +402,7 @@
         if (m_directory->mergeAll(records, currentInstant()))
             directoryChanged();
         m_isRegionKnown = m_isRegionKnown || isOwn;
+        updateQuotaNodes();
         if (!isOwn)
             return;
         notifyRegion({ m_directory->self() });
@@ -518,6 +521,7 @@
     notice.configurationDigest = m_configurationDigest;
     Instant now = currentInstant();
     notice.proof = m_freshness->proof(now);
+    notice.isWatcher = m_role == WatchRole::Watcher;
     if (auto it = m_echoes.find(peer.name); it != m_echoes.end())
         notice.echo = it->second;
     m_relay->query(
@@ -619,7 +623,8 @@
     Question& question = m_questions[notice.sender];
     if (notice.echo && notice.echo == question.number) {
         m_freshness->received(notice.proof, question.askedAt);
-        recordContact(notice.sender, question.askedAt);
+        if (notice.isWatcher)
+            recordContact(notice.sender, question.askedAt);
     }
     NoticeResult outcome = handleNotice(*m_directory, notice, now);
     if (outcome.isChanged)
@@ -653,6 +658,8 @@
         { { "peer", peer }, { "notices", unresponsive.failures },
             { "silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - unresponsive.since).count() } });
     m_unresponsivePeers.erase(peer);
+    m_questions.erase(peer);
+    m_echoes.erase(peer);
     if (!m_directory->markLeft(peer, now))
         return;
     directoryChanged();
@@ -678,10 +685,16 @@
 
 void DirectoryControl::updateQuotaNodes()
 {
+    bool isRegionKnown = m_isRegionKnown || m_lastPeerContact > Instant {};
+    if (!m_hasOrganisations || !isRegionKnown)
+        return;
     std::vector<QuotaNode> nodes;
     m_directory->forEachLive([&](const NodeRecord& it) {
         nodes.push_back({ it.name, it.location.region, it.relayAddress });
     });
+    if (nodes == m_lastQuotaNodes)
+        return;
+    m_lastQuotaNodes = nodes;
     std::set<std::string> regions;
     for (const Location& it : m_settings.dataCentres)
         regions.insert(it.region);
@@ -835,16 +848,17 @@
     notifyRegion({ m_directory->self() });
 }
 
-void DirectoryControl::onRoutes(const std::shared_ptr<const RouteTable>& routes)
+void DirectoryControl::onRoutes(const std::shared_ptr<const RouteTable>& routes, const std::shared_ptr<void>& inUse)
 {
-    m_node->setRoutes(routes);
+    m_node->setRoutes(routes, inUse);
     m_node->postToExecutor([services = m_services, routes] {
         if (services->operations)
             services->operations->setRoutes(routes);
         if (services->quota)
-            services->quota->setRoutes(routes);
+            services->quota->setRoutes(routes, currentInstant());
     });
     m_hasOrganisations = !routes->organisations().isEmpty();
+    updateQuotaNodes();
 }
 
 //-----------------------------------------------------------------------------
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -104,7 +104,7 @@
     Result<void> onAnnouncement(const Announcement&);
     Result<void> onDeparture(const Departure&);
     void applyUpstream();
-    void onRoutes(const std::shared_ptr<const RouteTable>&);
+    void onRoutes(const std::shared_ptr<const RouteTable>&, const std::shared_ptr<void>& inUse);
     void finishStop(const std::string& reason);
     std::string metricsPage();
     std::string statusJson() const;
@@ -133,6 +133,7 @@
     std::map<std::string, Question, std::less<>> m_questions; // to the peers that send notices
     std::map<std::string, uint64_t, std::less<>> m_echoes; // numbers of the questions of the peers that get notices
     std::shared_ptr<SharedQuotaNodes> m_quotaNodes = std::make_shared<SharedQuotaNodes>();
+    std::vector<QuotaNode> m_lastQuotaNodes;
     bool m_hasOrganisations = false; // the configuration in force has some
     UpstreamRegistration m_upstream;
     std::unique_ptr<DepartureExchange> m_departures;
--- a/src/node/EntryAdmission.cpp
+++ b/src/node/EntryAdmission.cpp
@@ -26,6 +26,7 @@
     const OrganisationTable& organisations = m_routes->organisations();
     if (organisations.isEmpty())
         return true;
+    m_wasAskedForKey = true;
     std::string key(keyOf(m_head.headers));
     removeHeaders(m_head.headers, HeaderName::authorization);
     removeHeaders(m_head.headers, m_worker.m_hooks.headers.organisation);
@@ -38,7 +39,9 @@
     }
     const Organisation* organisation = organisations.find(key);
     if (!organisation) {
-        refuseLocally(RefusalReason::KeyUnknown, "entry.key");
+        // The key may stand in a configuration that this node has only heard of.
+        bool isBehind = freshness && freshness->isBehind();
+        refuseLocally(isBehind ? RefusalReason::KeyUnverified : RefusalReason::KeyUnknown, "entry.key", {}, 1s);
         return false;
     }
     m_head.organisation = organisation->name;
@@ -47,7 +50,20 @@
     return true;
 }
 
-bool EntryExchange::isKeyHeld() const { return !m_head.key || m_worker.m_routes->organisations().holds(m_head.key); }
+// A key may have been taken away or moved to another organisation, and a request without one may have got another
+// route.
+bool EntryExchange::checkAuthorization()
+{
+    const OrganisationTable& organisations = m_worker.m_routes->organisations();
+    const Organisation* holder = organisations.holder(m_head.key);
+    bool isHeld = holder && holder->name == m_head.organisation;
+    bool needsNoKey = organisations.isEmpty() || (m_wasAskedForKey && m_match.route->isPublic);
+    if (m_head.key ? isHeld : needsNoKey)
+        return true;
+    bool isGone = m_head.key && !holder;
+    refuseLocally(isGone ? RefusalReason::KeyUnknown : RefusalReason::KeyUnverified, "entry.key", {}, 1s);
+    return false;
+}
 
 void EntryExchange::receiveProof(const FreshnessProof& proof)
 {
@@ -73,6 +89,13 @@
     });
 }
 
+void EntryExchange::returnUnusedQuota()
+{
+    bool mayBeSent = m_call && m_call->isHeadWritten() && mayHaveBeenDispatched();
+    if (!m_dispatched && !m_responseHeadReceived && !mayBeSent)
+        returnQuota();
+}
+
 void EntryExchange::returnQuota()
 {
     if (std::exchange(m_holdsQuota, false))
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -44,7 +44,8 @@
     case RefusalReason::NoRoute:
         return SOUP_STATUS_NOT_FOUND;
     case RefusalReason::KeyUnknown:
-        return refusal.outcome == Outcome::NotRun ? SOUP_STATUS_UNAUTHORIZED : SOUP_STATUS_BAD_GATEWAY;
+        return refusal.dispatched || refusal.outcome == Outcome::Ran ? SOUP_STATUS_BAD_GATEWAY
+                                                                     : SOUP_STATUS_UNAUTHORIZED;
     case RefusalReason::QuotaExceeded:
         return tooManyRequests;
     case RefusalReason::BodyTooLarge:
@@ -237,6 +238,7 @@
 {
     if (m_finished)
         return;
+    returnUnusedQuota();
     cancelCall();
     end();
 }
@@ -553,8 +555,8 @@
 
 void EntryExchange::sendTo(const Candidate& candidate)
 {
-    if (!isKeyHeld())
-        return refuseLocally(RefusalReason::KeyUnknown, "entry.key");
+    if (!checkAuthorization())
+        return;
     m_upstream = candidate.upstream;
     m_node = candidate.node;
     m_plan->started(m_upstream);
@@ -1046,6 +1048,7 @@
     auto self = shared_from_this();
     if (m_finished)
         return;
+    returnUnusedQuota();
     cancelCall();
     resetConnection();
     auto message = std::move(m_message);
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -52,9 +52,11 @@
     bool rerouteByNewerConfiguration(); // false: there is no newer configuration, or no route in it
     bool parseOperation();
     bool checkLimits();
-    bool isKeyHeld() const; // in the newest configuration
+    // Whether the newest configuration still lets the request run with what authorize() found. Refuses it otherwise.
+    bool checkAuthorization();
     bool authorize(); // checks the caller's key; false: the request was refused
     void requestQuota(); // starts the request once its organisation's quota allows it, or refuses it
+    void returnUnusedQuota(); // the same, for a caller that is gone
     void returnQuota(); // gives back what requestQuota() got, if the request has not run
     void startRequest();
     void buildHead();
@@ -155,6 +157,7 @@
     bool m_forwardedToHolder = false; // the request was forwarded to the claim's holder once, which is the limit
     std::function<void()> m_retryOnSweep; // run by the next sweep, when this entry may have learned of the executor
     std::optional<Instant> m_executorWaitEnd; // when waitForExecutor() gives up
+    bool m_wasAskedForKey = false; // organisations were declared when the request arrived
     bool m_holdsQuota = false; // a request of the organisation's quota was granted and not given back
     bool m_dispatched = false; // an attempt may have reached an upstream
     bool m_knownToHaveRun = false; // the store shows that the operation ran
--- a/src/node/ExecutorJob.cpp
+++ b/src/node/ExecutorJob.cpp
@@ -79,7 +79,7 @@
         return false;
     }
     m_upstream = it->second;
-    m_knewKey = m_routes->organisations().holds(head().key);
+    m_knewKey = isKeyHeld(*m_routes);
     m_executor.recordNotice(*m_upstream, m_exchange->context().notice);
     return true;
 }
@@ -138,12 +138,19 @@
 // A configuration that never held the key may be older than that of the entry, which has accepted it.
 bool ExecutorJob::checkKey()
 {
-    if (!m_knewKey || m_executor.m_routes->organisations().holds(head().key))
+    if (!m_knewKey || isKeyHeld(*m_executor.m_routes))
         return true;
-    refuse(RefusalReason::KeyUnknown, "executor.key");
+    bool hasMoved = m_executor.m_routes->organisations().holder(head().key);
+    refuse(hasMoved ? RefusalReason::KeyUnverified : RefusalReason::KeyUnknown, "executor.key", 1s);
     return false;
 }
 
+bool ExecutorJob::isKeyHeld(const RouteTable& routes) const
+{
+    const Organisation* holder = routes.organisations().holder(head().key);
+    return holder && holder->name == head().organisation;
+}
+
 void ExecutorJob::receiveBody()
 {
     std::weak_ptr<ExecutorJob> weak = weak_from_this();
--- a/src/node/ExecutorJob.h
+++ b/src/node/ExecutorJob.h
@@ -27,6 +27,7 @@
     bool checkTarget(); // checks the state and the recent failures of the upstream
     bool checkState(); // checks whether this node is draining and whether the upstream accepts requests
     bool screen(); // checks for a query of death
+    bool isKeyHeld(const RouteTable&) const; // by the organisation for which the entry accepted the request
     bool checkKey(); // checks whether the caller's key was taken away since the request arrived; false: refused
     void receiveBody();
     void onChunk(std::string&&);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -103,16 +103,16 @@
                                              : m_settings.relayAdvertise;
 }
 
-void Node::setRoutes(const std::shared_ptr<const RouteTable>& routes)
+void Node::setRoutes(const std::shared_ptr<const RouteTable>& routes, const std::shared_ptr<void>& inUse)
 {
-    setExecutorRoutes(routes);
+    setExecutorRoutes(routes, inUse);
     for (Worker& worker : m_workers)
-        worker.task->post([entry = worker.entry.get(), routes] { entry->setRoutes(routes); });
+        worker.task->post([entry = worker.entry.get(), routes, inUse] { entry->setRoutes(routes); });
 }
 
-void Node::setExecutorRoutes(const std::shared_ptr<const RouteTable>& routes)
+void Node::setExecutorRoutes(const std::shared_ptr<const RouteTable>& routes, const std::shared_ptr<void>& inUse)
 {
-    m_executorTask->post([this, routes] { m_executor->setRoutes(routes); });
+    m_executorTask->post([this, routes, inUse] { m_executor->setRoutes(routes); });
 }
 
 void Node::setCandidates(const std::shared_ptr<const CandidateList>& candidates)
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -18,8 +18,10 @@
     std::optional<Error> start();
 
     // The setters may be called from any thread and take effect in the order of the calls.
-    void setRoutes(const std::shared_ptr<const RouteTable>&);
-    void setExecutorRoutes(const std::shared_ptr<const RouteTable>&); // does not update the entry workers
+    // `inUse`, if set, is released by each task once it uses the routes.
+    void setRoutes(const std::shared_ptr<const RouteTable>&, const std::shared_ptr<void>& inUse = {});
+    void setExecutorRoutes(const std::shared_ptr<const RouteTable>&,
+        const std::shared_ptr<void>& inUse = {}); // does not update the entry workers
     void setCandidates(const std::shared_ptr<const CandidateList>&); // candidates of all services
     void updateCandidates(const std::shared_ptr<const CandidateChanges>&);
     void setUpstream(UpstreamEndpoint);
--- a/src/node/QuotaClient.h
+++ b/src/node/QuotaClient.h
@@ -12,7 +12,7 @@
 
 inline QuotaTerms quotaTerms(const Settings& settings)
 {
-    return { settings.quotaWindow, settings.quotaOverage, settings.quotaSlack };
+    return { settings.quotaWindow, settings.quotaOverage, settings.quotaSlack, std::max(1U, settings.workers) };
 }
 
 // Answer to a request of an organisation.
@@ -58,17 +58,23 @@
     struct Account {
         QuotaStock stock;
         std::deque<Callback> waiting;
-        std::shared_ptr<const RouteTable> routes; // owns the organisation
+        std::shared_ptr<const RouteTable> routes; // owns the organisation; null while nobody waits
+        Instant usedAt {};
     };
 
     void run(const std::string& organisation);
     void grant(Account&, uint32_t n);
+    void refuse(Account&, Duration retryAfter);
     void ask(const std::string& organisation, const QuotaAsk&);
+    void dropIdleAccounts(Instant now);
 
     RelayClient& m_client;
     std::string m_region;
     std::shared_ptr<const SharedQuotaNodes> m_nodes;
     std::map<std::string, Account, std::less<>> m_accounts; // by organisation
+    std::minstd_rand m_random;
+    Instant m_nextSweep {};
+    bool m_isRunning = false; // in run(), whose callbacks may call acquire()
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // expires with this object; checked by callbacks
 };
 
--- a/src/node/SharedFreshness.h
+++ b/src/node/SharedFreshness.h
@@ -40,6 +40,11 @@
         std::lock_guard lock(m_mutex);
         return m_freshness.mayAcceptKeys(now);
     }
+    bool isBehind() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_freshness.isBehind();
+    }
     bool shouldAskStore(Instant now) const
     {
         std::lock_guard lock(m_mutex);
--- a/tests/ConfigurationFreshnessTests.cpp
+++ b/tests/ConfigurationFreshnessTests.cpp
@@ -268,6 +268,17 @@
     BOOST_TEST(node.proof(start + 4s).configuration == 5U);
 }
 
+// Guards against a store that came back from an older copy and makes a node trust the configuration that it holds,
+// although it has heard of a newer one that may have taken keys away.
+BOOST_AUTO_TEST_CASE(restoredStoreDoesNotReviveAnOldConfiguration)
+{
+    ConfigurationFreshness node = freshNode(4);
+    node.received({ 5, 0 }, start + 1s);
+    BOOST_TEST(node.isBehind());
+    node.confirmedByStore(4, start + 20s);
+    BOOST_TEST(!node.mayAcceptKeys(start + 20s));
+}
+
 // Guards against a store that is asked although messages of other nodes bring news, and against one that is not asked
 // before keys are refused.
 BOOST_AUTO_TEST_CASE(asksTheStoreBeforeKeysAreRefused)
