Refuse a status above 599 from an upstream

Cause: HttpFraming refused a status below 100 only. 600 and 999 reached the caller as the status of a whole answer, though RFC 9110, section 15 calls every status outside of 100 to 599 invalid. Change: checkStatus has both bounds. Result: statusAndLengthAreInRange with 600 and 999 failed before, passes now.

--- a/src/node/HttpFraming.cpp
+++ b/src/node/HttpFraming.cpp
@@ -55,13 +55,14 @@
     return std::nullopt;
 }
 
-// RFC 9110, section 15: the first status is 100.
+// RFC 9110, section 15: all others are invalid.
 std::optional<Violation> checkStatus(const MessageHead& head)
 {
     constexpr uint16_t firstStatus = 100;
-    if (head.status >= firstStatus)
+    constexpr uint16_t lastStatus = 599;
+    if (head.status >= firstStatus && head.status <= lastStatus)
         return std::nullopt;
-    return Violation { FramingError::Kind::Malformed, "a status below 100" };
+    return Violation { FramingError::Kind::Malformed, "a status that is not from 100 to 599" };
 }
 
 // A length that no signed number of 64 bits holds is not passed on between the nodes.
--- a/tests/HttpFramingTests.cpp
+++ b/tests/HttpFramingTests.cpp
@@ -279,8 +279,9 @@
 // Guards against a status or a length that the rest of the node cannot hold.
 BOOST_AUTO_TEST_CASE(statusAndLengthAreInRange)
 {
-    for (const std::string line : { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK" })
+    for (const std::string line : { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK" })
         BOOST_TEST(!readWhole(MessageKind::Response, line + "\r\nContent-Length: 2\r\n\r\nok").isComplete);
+    BOOST_TEST(readWhole(MessageKind::Response, "HTTP/1.1 599 OK\r\nContent-Length: 2\r\n\r\nok").isComplete);
     for (const std::string length : { "9223372036854775808", "18446744073709551615" }) {
         MessageReader reader(MessageKind::Response);
         reader.feed(response("Content-Length: " + length + "\r\n"));
