A caller's connection serves on after a 204

Cause: libsoup drops the Content-Length of a 204 as it writes the head, and then takes the response for one that ends with its connection: the node closed the caller's connection behind every 204, without "Connection: close". The next request on it got no answer. Found by ResponseStatusTests. Change: the entry states again, once the head is written, that no body follows.

--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -103,6 +103,16 @@
     return static_cast<uint32_t>(std::clamp<int64_t>(left, 0, UINT32_MAX));
 }
 
+// libsoup drops the length of a 204 as it writes the head, and then takes the response for one that ends with its
+// connection.
+void keepConnectionWithoutBody(SoupServerMessage* message)
+{
+    auto setNone = +[](SoupServerMessage* it, gpointer) {
+        soup_message_headers_set_encoding(soup_server_message_get_response_headers(it), SOUP_ENCODING_NONE);
+    };
+    g_signal_connect(message, "wrote-headers", G_CALLBACK(setNone), nullptr);
+}
+
 } // namespace
 
 EntryExchange::EntryExchange(EntryWorker& worker, SoupServerMessage* message)
@@ -953,6 +963,8 @@
     auto* headers = soup_server_message_get_response_headers(m_message.get());
     for (const Header& header : m_response.headers)
         soup_message_headers_append(headers, header.name.c_str(), header.value.c_str());
+    if (m_response.status == SOUP_STATUS_NO_CONTENT)
+        keepConnectionWithoutBody(m_message.get());
     if (length >= 0)
         soup_message_headers_set_content_length(headers, length);
     else if (soup_server_message_get_http_version(m_message.get()) == SOUP_HTTP_1_0)
