Requests that found full upstreams are no longer refused for it

Cause: three faults of passing on, each with balancing.triesOthersWhenFull set. An upstream that answers SlotsTaken counted as tried for good, so a request was refused (503, not run) when the next one refused it (Draining, unreachable), or when the one where it queued drained, although a full one would have queued it. A repeatable body is sent at once, and the entry keeps 64 KiB of it: a longer one could not be sent again after SlotsTaken, and the request was refused. Besides, by reading: a failing upstream came before a full one as last resort, and a first SlotsTaken at the last attempt was not noted, so that attempt had no last resort. Change: PassOnPlan keeps every upstream that was full until the request has queued there; retryElsewhere() and chooseLastResort() turn to these. An entry doesn't ask where a streamed body is longer than it keeps, or of unknown length.

--- a/src/core/PassOnPlan.h
+++ b/src/core/PassOnPlan.h
@@ -7,6 +7,10 @@
 
 #include "Basics.h"
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 namespace Gooseberrymill {
 
 // Where a request goes next.
@@ -31,10 +35,13 @@
     void refused(const std::string& upstream, Duration wait, PassOnStep step)
     {
         step == PassOnStep::OtherRegion ? ++m_otherRegionTries : ++m_regionTries;
-        if (m_shortest.empty() || wait < m_shortestWait) {
-            m_shortest = upstream;
-            m_shortestWait = wait;
-        }
+        m_asked.push_back({ upstream, wait });
+    }
+
+    // The request is sent to an upstream that was asked, to wait there. If that one fails it, the next one is left.
+    void queued(const std::string& upstream)
+    {
+        std::erase_if(m_asked, [&](const Asked& asked) { return asked.upstream == upstream; });
     }
 
     void regionExhausted() { m_regionTries = maxRegionTries; } // every upstream of the own region is known to be full
@@ -46,14 +53,30 @@
             return PassOnStep::Queue;
         if (m_regionTries < maxRegionTries && !m_otherRegionTries)
             return PassOnStep::Region;
-        bool saves = m_shortestWait > otherRegionHop;
+        auto it = shortestAsked();
+        bool saves = it != m_asked.end() && it->wait > otherRegionHop;
         return saves && m_otherRegionTries < maxOtherRegionTries ? PassOnStep::OtherRegion : PassOnStep::Queue;
     }
 
     bool hasAsked() const { return m_regionTries + m_otherRegionTries > 0; }
-    const std::string& shortest() const { return m_shortest; } // upstream with the shortest wait of those asked; or ""
+    // The upstream with the shortest wait of those asked where the request has not queued yet; or "".
+    std::string shortest() const
+    {
+        auto it = shortestAsked();
+        return it == m_asked.end() ? std::string() : it->upstream;
+    }
 
 private:
+    struct Asked {
+        std::string upstream;
+        Duration wait {};
+    };
+
+    std::vector<Asked>::const_iterator shortestAsked() const
+    {
+        return std::ranges::min_element(m_asked, {}, &Asked::wait);
+    }
+
     static constexpr Duration regionHop = 15ms; // a refusal and another request head inside a region, at busy nodes
     static constexpr Duration otherRegionHop = 150ms; // the same to another region, and the way of the response back
     static constexpr Duration minTimeLeft = 300ms; // for a caller that has less left, each hop is a risk
@@ -62,8 +85,7 @@
 
     uint32_t m_regionTries = 0; // upstreams of the own region that refused the request
     uint32_t m_otherRegionTries = 0;
-    std::string m_shortest;
-    Duration m_shortestWait {};
+    std::vector<Asked> m_asked; // upstreams that refused the request and where it has not queued yet
 };
 
 } // namespace Gooseberrymill
--- a/src/node/EntryExchange.cpp
+++ b/src/node/EntryExchange.cpp
@@ -702,6 +702,8 @@
         m_leastFailurePercent = refusal.load.failurePercent;
         m_leastFailingUpstream = m_upstream;
     }
+    if (refusal.reason == RefusalReason::SlotsTaken)
+        m_passOn.refused(m_upstream, std::chrono::milliseconds(refusal.retryAfterMs), m_passOnStep);
     if (refusal.reason == RefusalReason::HeldElsewhere && forwardToHolder(refusal))
         return;
     retryOrRespond(std::move(refusal));
@@ -812,7 +814,10 @@
 {
     m_head.acceptableWaitMs = 0;
     bool isFirst = !m_passOn.hasAsked();
-    bool mayGoOn = m_isBodyReplayable && !namesOperation() && !m_head.isLastChoice;
+    // The body of a repeatable request is on its way before the refusal comes.
+    bool keepsBody = !m_match.route->repeatable
+        || (m_head.bodyLength >= 0 && static_cast<size_t>(m_head.bodyLength) <= maxReplayBodyBytes);
+    bool mayGoOn = m_isBodyReplayable && keepsBody && !namesOperation() && !m_head.isLastChoice;
     if (!m_worker.m_settings.triesOthersWhenFull || !mayGoOn)
         return;
     if (isFirst && m_worker.m_balancer->hasFreshReport(m_upstream, currentInstant()))
@@ -824,7 +829,6 @@
 
 bool EntryExchange::passOn(const Refusal& refusal)
 {
-    m_passOn.refused(m_upstream, std::chrono::milliseconds(refusal.retryAfterMs), m_passOnStep);
     BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
         m_plan->tried() };
     const Candidate* next = nullptr;
@@ -841,23 +845,34 @@
         request.reach = BalanceReach::FreeElsewhere;
         next = m_worker.m_balancer->choose(request, currentInstant());
     }
-    if (!next) {
-        m_passOnStep = PassOnStep::Queue;
-        auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
-        auto it = std::ranges::find(candidates, m_passOn.shortest(), &Candidate::upstream);
-        next = it == candidates.end() ? nullptr : &*it;
-    }
+    if (!next)
+        next = chooseAsked();
     if (!next)
         return retryElsewhere(refusal);
     resendTo(*next, refusal);
     return true;
 }
 
+// An upstream whose slots were all taken would have queued the request, so it counts as not tried until it has.
+const Candidate* EntryExchange::chooseAsked()
+{
+    auto candidates = m_worker.m_balancer->candidatesOf(m_head.service);
+    for (std::string upstream = m_passOn.shortest(); !upstream.empty(); upstream = m_passOn.shortest()) {
+        m_passOnStep = PassOnStep::Queue;
+        m_passOn.queued(upstream);
+        if (auto it = std::ranges::find(candidates, upstream, &Candidate::upstream); it != candidates.end())
+            return &*it;
+    }
+    return nullptr;
+}
+
 bool EntryExchange::retryElsewhere(const Refusal& refusal)
 {
     BalanceRequest request { m_head.service, m_match.route->workClass, m_match.route->repeatable, std::nullopt,
         m_plan->tried() };
     const Candidate* next = m_worker.m_balancer->choose(request, currentInstant());
+    if (!next)
+        next = chooseAsked();
     if (!next && hasLastResort(refusal.reason))
         next = chooseLastResort();
     if (!next)
@@ -877,7 +892,8 @@
 // refusal does.
 const Candidate* EntryExchange::chooseLastResort()
 {
-    const std::string& other = m_leastFailingUpstream.empty() ? m_passOn.shortest() : m_leastFailingUpstream;
+    const std::string full = m_passOn.shortest();
+    const std::string& other = full.empty() ? m_leastFailingUpstream : full;
     const std::string& upstream = m_soonestUpstream.empty() ? other : m_soonestUpstream;
     if (std::exchange(m_head.isLastChoice, true) || upstream.empty() || m_dispatched)
         return nullptr;
--- a/src/node/EntryExchange.h
+++ b/src/node/EntryExchange.h
@@ -74,6 +74,7 @@
     void onCallFailed(const Error&, Outcome);
     void retryOrRespond(Refusal&&);
     bool passOn(const Refusal&); // after SlotsTaken; false: no upstream is left
+    const Candidate* chooseAsked(); // to queue at an upstream that had no free slot; null: none is left
     void setAcceptableWait();
     bool retryElsewhere(const Refusal&); // false: no upstream is left to try
     void resendTo(const Candidate&, const Refusal&);
--- a/tests/PassOnDataPathTests.cpp
+++ b/tests/PassOnDataPathTests.cpp
@@ -301,3 +301,69 @@
     BOOST_TEST(fleet.runs(0, "/read/waits") == 1U);
     BOOST_TEST(fleet.runs(0, "/read/asks") == 0U);
 }
+
+// Guards against a request that is refused because the other upstream does not take it, although the full one would
+// have queued it.
+BOOST_AUTO_TEST_CASE(returnsToTheFullUpstreamWhenTheOtherRefuses)
+{
+    for (const Kind& kind : kinds) {
+        FullFleet fleet;
+        fleet.fill(0);
+        fleet.fleet().setState(1, UpstreamState::Draining); // node 2 has not heard of it
+        auto response = fleet.askLater(kind.method, kind.target, {}, kind.body);
+        BOOST_TEST(fleet.accepted().waitFor(0, kind.target));
+        fleet.release(0);
+        checkServed(response.get(), kind);
+        BOOST_TEST(fleet.runs(0, kind.target) == 1U);
+        BOOST_TEST(fleet.runs(1, kind.target) == 0U);
+    }
+}
+
+// Guards against a request that is refused because the upstream where it queues drains, although another one that was
+// full as well would queue it.
+BOOST_AUTO_TEST_CASE(queuesAtTheNextOneWhenTheFirstDrains)
+{
+    for (const Kind& kind : kinds) {
+        FullFleet fleet;
+        fleet.fill(0);
+        fleet.fill(1);
+        auto response = fleet.askLater(kind.method, kind.target, {}, kind.body);
+        BOOST_REQUIRE(fleet.accepted().waitFor(0, kind.target));
+        fleet.fleet().setState(0, UpstreamState::Draining);
+        BOOST_TEST(fleet.accepted().waitFor(1, kind.target));
+        fleet.release(1);
+        checkServed(response.get(), kind);
+        BOOST_TEST(fleet.runs(0, kind.target) == 0U);
+        BOOST_TEST(fleet.runs(1, kind.target) == 1U);
+    }
+}
+
+// Guards against a repeatable request that is refused because more of its body was sent than the entry keeps when the
+// executor returns it.
+BOOST_AUTO_TEST_CASE(longBodiesAreNotLost)
+{
+    const std::string body = patternBytes(0, 4 << 20);
+    for (bool isChunked : { false, true }) {
+        FullFleet fleet;
+        fleet.fill(0);
+        auto response = std::async(std::launch::async, [&] {
+            HttpCaller caller(fleet.fleet().port(2));
+            if (!isChunked)
+                return caller.request("PUT", "/read/long", {}, body);
+            caller.sendHead("PUT", "/read/long", { { "Transfer-Encoding", "chunked" } });
+            caller.send(fmt::format("{:x}\r\n", body.size()));
+            caller.send(body);
+            caller.send("\r\n0\r\n\r\n");
+            return caller.receive();
+        });
+        // It waits at upstream 0 or is served by upstream 1, but is not refused.
+        while (response.wait_for(std::chrono::milliseconds(10)) != std::future_status::ready) {
+            if (fleet.accepted().has(0, "/read/long"))
+                fleet.release(0);
+        }
+        auto served = response.get();
+        BOOST_TEST(served.status == 200);
+        BOOST_TEST(served.body == "PUT /read/long " + digestOf(body));
+        BOOST_TEST(fleet.runs(0, "/read/long") + fleet.runs(1, "/read/long") == 1U);
+    }
+}
--- a/tests/PassOnTests.cpp
+++ b/tests/PassOnTests.cpp
@@ -298,3 +298,19 @@
     plan.refused("a", 900ms, PassOnStep::Region);
     BOOST_TEST((plan.next(100ms) == PassOnStep::Queue));
 }
+
+// Guards against a request that is given up, or that queues twice at one upstream, when the upstream where it queues
+// fails it and others were only full.
+BOOST_AUTO_TEST_CASE(eachFullUpstreamIsLeftToQueueAtOnce)
+{
+    PassOnPlan plan;
+    plan.refused("a", 90ms, PassOnStep::Region);
+    plan.refused("b", 40ms, PassOnStep::Region);
+    plan.refused("c", 60ms, PassOnStep::Region);
+    for (const char* upstream : { "b", "c", "a" }) {
+        BOOST_TEST(plan.shortest() == upstream);
+        plan.queued(upstream);
+    }
+    BOOST_TEST(plan.shortest().empty());
+    BOOST_TEST(plan.hasAsked());
+}
