--- a/tests/OrganisationTests.cpp
+++ b/tests/OrganisationTests.cpp
@@ -63,6 +63,7 @@
 BOOST_AUTO_TEST_CASE(findsTheHolderOfAKey)
 {
     std::vector<Organisation> organisations;
+    organisations.reserve(2000);
     for (int i = 0; i < 2000; ++i)
         organisations.push_back(
             organisationNamed(fmt::format("org-{}", i), { fmt::format("a-{}", i), fmt::format("b-{}", i) }));
--- a/tests/ResponseStatusTests.cpp
+++ b/tests/ResponseStatusTests.cpp
@@ -34,16 +34,16 @@
 public:
     explicit StatusFleet(std::function<RawResponse(const std::string& id)> respond, bool hasOther = false)
         : m_respond(std::move(respond))
-        , odd([this](const std::string& head) { return answer(head); })
-        , other([this](const std::string& head) {
+        , m_odd([this](const std::string& head) { return answer(head); })
+        , m_other([this](const std::string& head) {
             ++m_otherArrivals;
             return RawResponse { wholeAnswer(idOf(head)) };
         })
-        , m_mesh(odd, 3, 2s)
-        , caller(m_mesh.fleet.port(2))
+        , m_mesh(m_odd, 3, 2s)
+        , m_caller(m_mesh.fleet.port(2))
     {
         UpstreamEndpoint& endpoint = m_mesh.fleet[1].endpoint;
-        endpoint.address = other.address();
+        endpoint.address = m_other.address();
         m_mesh.fleet[1].node->setUpstream(endpoint);
         CandidateList candidates = m_mesh.fleet.candidates();
         candidates.resize(hasOther ? 2 : 1);
@@ -54,7 +54,7 @@
     // On the connection of the one caller.
     CallerResponse call(const std::string& target, const std::string& id)
     {
-        return caller.request(target.starts_with("/read") ? "GET" : "POST", target, { { "Attempt-Id", id } });
+        return m_caller.request(target.starts_with("/read") ? "GET" : "POST", target, { { "Attempt-Id", id } });
     }
 
     // The next request on the caller's connection gets its own answer.
@@ -78,9 +78,9 @@
         constexpr int limit = 2000;
         int inARow = 0;
         for (int i = 0; i < limit && inARow < enough; ++i) {
-            size_t before = odd.requests() + (hasOther ? other.requests() : 0);
+            size_t before = m_odd.requests() + (hasOther ? m_other.requests() : 0);
             bool isWhole = call("/read/a", "ready").body == answerOf("ready");
-            size_t after = odd.requests() + (hasOther ? other.requests() : 0);
+            size_t after = m_odd.requests() + (hasOther ? m_other.requests() : 0);
             inARow = isWhole && after == before + 1 ? inARow + 1 : 0;
         }
         BOOST_REQUIRE(inARow == enough);
@@ -99,10 +99,10 @@
     std::function<RawResponse(const std::string&)> m_respond;
     std::atomic<size_t> m_oddArrivals { 0 };
     std::atomic<size_t> m_otherArrivals { 0 };
-    RawUpstream odd;
-    RawUpstream other;
+    RawUpstream m_odd;
+    RawUpstream m_other;
     MeshFleet m_mesh;
-    HttpCaller caller;
+    HttpCaller m_caller;
 };
 
 // One complete response of the node's own, to work that may have run.
@@ -255,7 +255,8 @@
                 {
                     StatusFleet fleet([&](const std::string& id) {
                         std::string rest = i ? strays(id)[i - 1] : "";
-                        return RawResponse { headOf("101 Switching Protocols", id, headers + "\r\n" + rest) };
+                        return RawResponse { headOf(
+                            "101 Switching Protocols", id, fmt::format("{}\r\n{}", headers, rest)) };
                     });
                     fleet.checkNext(target);
                     checkOwnRefusal(fleet.call(target, "odd"));
