Organisations in the operators' library; errors show no key

Writing its cases showed two faults of the checks: an invalid or repeated key stood in the error, and any text passed as the class of an organisation. Change: gm.Organisation, Route.public; lists of secrets are not described; the codec of the class refuses unknown names. CommandLineProcessTests expects seven missing keys where it expected six: the name of an organisation came. Result: OperatorLibraryTests, CommandLineProcessTests and ConfigurationFileTests pass; the cases of keys and class fail without the change.

--- a/python/gooseberrymill.py
+++ b/python/gooseberrymill.py
@@ -24,7 +24,7 @@
 from typing import Any, Callable, Dict, List, Optional, Set, Tuple
 
 __all__ = [
-    "Admission", "AnswerCheck", "Configuration", "ConfigurationError", "Detection", "Problem", "Retry",
+    "Admission", "AnswerCheck", "Configuration", "ConfigurationError", "Detection", "Organisation", "Problem", "Retry",
     "Route", "Service", "Weights", "WorkClass",
 ]
 
@@ -151,20 +151,27 @@
 _CONTENT_TYPE = _text(
     r"|[!#-.0-\[\]-~]+/[!#-\[\]-~]+", 128, 'a media type such as "application/json", or "" for any')
 _STATUS = _integer(100, 599)
+_ORGANISATION_KEY = _text(r"[!-~]+", 256, "a text of 1 to 256 printable ASCII characters without spaces")
 
 _MAX_LIST = 32
 _MAX_UPSTREAMS = 100_000
 _MAX_SLOTS = 10_000
 _MAX_TABLES = 4096
+_MAX_ORGANISATIONS = 200_000
+
+
+def _choice_or_empty(value: Any) -> Optional[str]:
+    return None if value == "" else _choice(value)
 
 
 def _optional(rule: Rule) -> Rule:
     return lambda value: None if value is None else rule(value)
 
 
-def _key(toml_name: str, rule: Rule, default: Any = MISSING, is_list: bool = False) -> Any:
-    """A dataclass field that is one TOML key; required without a default."""
-    metadata = {"key": toml_name, "rule": rule, "is_list": is_list}
+def _key(
+        toml_name: str, rule: Rule, default: Any = MISSING, is_list: bool = False, is_secret: bool = False) -> Any:
+    """A dataclass field that is one TOML key; required without a default. Problems don't show secrets."""
+    metadata = {"key": toml_name, "rule": rule, "is_list": is_list, "is_secret": is_secret}
     if is_list:
         return field(default_factory=list, metadata=metadata)
     return field(default=default, metadata=metadata)
@@ -175,9 +182,9 @@
     return field(default_factory=factory, metadata={"table": toml_name})
 
 
-def _tables(toml_name: str) -> Any:
+def _tables(toml_name: str, limit: int = _MAX_TABLES) -> Any:
     """A dataclass field that is an array of TOML tables."""
-    return field(default_factory=list, metadata={"tables": toml_name})
+    return field(default_factory=list, metadata={"tables": toml_name, "limit": limit})
 
 
 # ---------------------------------------------------------------------------------------------------
@@ -258,6 +265,8 @@
     host: str = _key("host", _HOST, "")
     max_attempts: int = _key("maxAttempts", _integer(0, 10), 0)
     internal: bool = _key("internal", _flag, False)
+    public: bool = _key("public", _flag, False)
+    """Whether callers need no key although organisations are declared."""
     work_class: WorkClass = _key("class", _choice, WorkClass.INTERACTIVE)
     deadline: str = _key("deadline", _duration("1ms", "1d"), "10s")
     max_body: str = _key("maxBodyBytes", _size("0B", "1GiB"), "1MiB")
@@ -280,12 +289,26 @@
     routes: List[Route] = _tables("route")
 
 
+@dataclass
+class Organisation:
+    """A customer of the fleet, whose callers present one of its keys."""
+
+    name: str = _key("name", _NAME)
+    keys: List[str] = _key("keys", _ORGANISATION_KEY, is_list=True, is_secret=True)
+    rate: float = _key("rate", _number(0, 1e9), 0.0)
+    """Requests a second over the whole fleet; 0: no limit."""
+    burst: float = _key("burst", _number(0, 1e9), 0.0)
+    work_class: str = _key("class", _choice_or_empty, "")
+    """Class of work that precedes that of the route; empty: that of the route."""
+
+
 @dataclass
 class Configuration:
     """One document, applied as a whole."""
 
     name: str = _key("name", _NAME, "main")
     services: List[Service] = _tables("service")
+    organisations: List[Organisation] = _tables("organisation", _MAX_ORGANISATIONS)
 
     def validate(self) -> List[Problem]:
         """All errors, by the rules of ``gooseberrymill check``. Empty when there are none."""
@@ -321,28 +344,31 @@
             _check_values(value, _join(path, metadata["table"]), problems)
         elif "tables" in metadata:
             key_path = _join(path, metadata["tables"])
-            if len(value) > _MAX_TABLES:
-                problems.append(Problem(key_path, f"{len(value)} elements", f"at most {_MAX_TABLES}"))
+            if len(value) > metadata["limit"]:
+                problems.append(Problem(key_path, f"{len(value)} elements", f"at most {metadata['limit']}"))
             for index, element in enumerate(value):
                 _check_values(element, f"{key_path}[{index}]", problems)
         elif metadata["is_list"]:
-            _check_list(value, _join(path, metadata["key"]), metadata["rule"], problems)
+            _check_list(value, _join(path, metadata["key"]), metadata, problems)
         else:
             allowed = metadata["rule"](value)
             if allowed is not None:
                 problems.append(Problem(_join(path, metadata["key"]), repr(value), allowed))
 
 
-def _check_list(value: Any, key_path: str, rule: Rule, problems: List[Problem]) -> None:
+def _check_list(value: Any, key_path: str, metadata: Any, problems: List[Problem]) -> None:
+    def shown(item: Any) -> str:
+        return "a secret" if metadata["is_secret"] else repr(item)
+
     if not isinstance(value, list) or len(value) > _MAX_LIST:
-        problems.append(Problem(key_path, repr(value), f"a list of at most {_MAX_LIST} elements"))
+        problems.append(Problem(key_path, shown(value), f"a list of at most {_MAX_LIST} elements"))
         return
     for index, element in enumerate(value):
-        allowed = rule(element)
+        allowed = metadata["rule"](element)
         if allowed is not None:
-            problems.append(Problem(f"{key_path}[{index}]", repr(element), allowed))
+            problems.append(Problem(f"{key_path}[{index}]", shown(element), allowed))
         elif isinstance(element, str) and element in value[:index]:
-            problems.append(Problem(f"{key_path}[{index}]", f"{element!r} twice", "each element once"))
+            problems.append(Problem(f"{key_path}[{index}]", f"{shown(element)} twice", "each element once"))
 
 
 class _CrossChecker:
@@ -368,6 +394,19 @@
             path = f"service[{index}]"
             self._check_name(service.name, path, names)
             self._check_service(service, path)
+        self._check_organisations(configuration.organisations)
+
+    def _check_organisations(self, organisations: List[Organisation]) -> None:
+        names: Set[str] = set()
+        keys: Set[str] = set()
+        for index, organisation in enumerate(organisations):
+            path = f"organisation[{index}]"
+            self._check_name(organisation.name, path, names)
+            if not self._is_usable(path, "keys"):
+                continue
+            if not keys.isdisjoint(organisation.keys):
+                self._report(f"{path}.keys", "a key a second time", "keys that no other organisation has")
+            keys.update(organisation.keys)
 
     def _check_name(self, name: str, path: str, names: Set[str]) -> None:
         if not self._is_usable(path, "name"):
@@ -482,7 +521,8 @@
     lines = [f"name = {_value(configuration.name)}"]
     for attribute in fields(configuration):
         if "tables" in attribute.metadata:
-            for service in getattr(configuration, attribute.name):
-                lines.extend(["", "[[service]]"])
-                _print_table(service, "service", lines)
+            name = attribute.metadata["tables"]
+            for item in getattr(configuration, attribute.name):
+                lines.extend(["", f"[[{name}]]"])
+                _print_table(item, name, lines)
     return "\n".join(lines) + "\n"
--- a/src/node/ConfigurationFile.cpp
+++ b/src/node/ConfigurationFile.cpp
@@ -74,8 +74,10 @@
     [](std::string_view text) -> std::optional<std::optional<WorkClass>> {
         if (text.empty())
             return std::optional<WorkClass>();
-        auto workClass = parseWorkClass(text);
-        return workClass ? std::optional(workClass) : std::nullopt;
+        std::optional<WorkClass> workClass = parseWorkClass(text);
+        if (!workClass)
+            return std::nullopt;
+        return workClass;
     },
     [](const std::optional<WorkClass>& value) { return value ? std::string(toString(*value)) : std::string(); } };
 
--- a/src/node/TomlSections.cpp
+++ b/src/node/TomlSections.cpp
@@ -412,6 +412,8 @@
     if (!array)
         return;
     value.clear();
+    auto describe
+        = [&](const toml::node& node) { return rule.isSecret ? std::string("a secret") : describeValue(node); };
     for (size_t i = 0; i < array->size(); ++i) {
         const toml::node& node = *array->get(i);
         std::string elementKey = fmt::format("{}[{}]", key, i);
@@ -419,9 +421,9 @@
         if (!text)
             rejectType(elementKey, node, rule.allowed);
         else if (!rule.accepts(text->get()))
-            reject(elementKey, describeValue(node), std::string(rule.allowed));
+            reject(elementKey, describe(node), std::string(rule.allowed));
         else if (std::find(value.begin(), value.end(), text->get()) != value.end())
-            reject(elementKey, describeValue(node) + " twice", "each element once");
+            reject(elementKey, describe(node) + " twice", "each element once");
         else
             value.push_back(text->get());
     }
--- a/tests/CommandLineProcessTests.cpp
+++ b/tests/CommandLineProcessTests.cpp
@@ -167,7 +167,8 @@
     Command wrong = run({ "check", directory.write("defaults.toml", defaults.output) });
     checkExit(wrong, 1);
     auto lines = std::count(wrong.errors.begin(), wrong.errors.end(), '\n');
-    BOOST_TEST(lines == 6, wrong.errors); // the required keys: four of a service, two of a route
+    // The required keys: four of a service, two of a route, one of an organisation.
+    BOOST_TEST(lines == 7, wrong.errors);
     Command settings = run({ "defaults", "settings" });
     checkExit(settings, 0);
     std::string text = settings.output;
--- a/tests/ConfigurationFileTests.cpp
+++ b/tests/ConfigurationFileTests.cpp
@@ -348,6 +348,7 @@
     Organisation expected { "archive", { "first-key", "second-key" }, 2.5, 10, WorkClass::Patient };
     BOOST_TEST((result.value->organisations[0] == expected));
     BOOST_TEST((result.value->organisations[1] == Organisation { "court", { "third-key" }, 0, 0, std::nullopt }));
+    checkRejected(replaced(text, "\"patient\"", "\"urgent\""), "organisation[0].class", "class = \"urgent\"");
     auto printed = parseConfiguration(printConfiguration(*result.value), "printed.toml");
     BOOST_REQUIRE(printed.value);
     BOOST_TEST((printed.value->organisations == result.value->organisations));
@@ -369,5 +370,12 @@
     checkRejected(replaced(replaced(text, ", \"first-key\"", ""), "\"court\"", "\"archive\""), "organisation[1].name",
         "name = \"archive\"\nkeys = [\"second-key\"");
     checkRejected(replaced(text, "\"second-key\", \"first-key\"", "\"a key\""), "organisation[1].keys[0]", "\"a key\"");
-    BOOST_TEST(joined(parseConfiguration(text, "main.toml").errors).find("first-key") == std::string::npos);
+    std::string malformed = replaced(text, "\"second-key\", \"first-key\"", "\"a key\"");
+    std::string repeated = replaced(text, "\"second-key\", \"first-key\"", "\"a-key\", \"a-key\"");
+    for (const std::string& each : { text, malformed, repeated }) {
+        std::string errors = joined(parseConfiguration(each, "main.toml").errors);
+        BOOST_TEST(!errors.empty());
+        for (std::string_view key : { "first-key", "\"a key", "a-key" })
+            BOOST_TEST(errors.find(key) == std::string::npos, errors);
+    }
 }
--- a/tests/operator_library_tests.py
+++ b/tests/operator_library_tests.py
@@ -53,7 +53,15 @@
     return routes(route(check=gm.AnswerCheck(**changes)))  # type: ignore[arg-type]
 
 
+def organisations(*items: gm.Organisation) -> gm.Configuration:
+    return gm.Configuration(services=[service()], organisations=list(items))
+
+
 GOOD: List[Tuple[str, gm.Configuration]] = [
+    ("organisations", organisations(
+        gm.Organisation(name="archive", keys=["first-key", "second-key"], rate=2.5, burst=10, work_class="patient"),
+        gm.Organisation(name="court", keys=["third-key"]))),
+    ("public route", routes(route(public=True))),
     ("plain", one()),
     ("floor at the capacity", one(floor_slots=84)),
     ("no floor", one(floor_slots=0)),
@@ -80,6 +88,14 @@
 BAD: List[Tuple[str, gm.Configuration]] = [
     ("no service", gm.Configuration()),
     ("no route", one(routes=[])),
+    ("organisation name twice", organisations(gm.Organisation(name="a"), gm.Organisation(name="a"))),
+    ("shared key", organisations(
+        gm.Organisation(name="a", keys=["one-key"]), gm.Organisation(name="b", keys=["two-key", "one-key"]))),
+    ("key with a space", organisations(gm.Organisation(name="a", keys=["a key"]))),
+    ("empty key", organisations(gm.Organisation(name="a", keys=[""]))),
+    ("key twice", organisations(gm.Organisation(name="a", keys=["one-key", "one-key"]))),
+    ("negative rate", organisations(gm.Organisation(name="a", rate=-1.0))),
+    ("class of an organisation", organisations(gm.Organisation(name="a", work_class="urgent"))),
     ("name of the document", gm.Configuration(name="a b", services=[service()])),
     ("empty name", one(name="")),
     ("long name", one(name="x" * 65)),
@@ -191,7 +207,8 @@
         for path, kind in (
                 ("", gm.Configuration), ("service", gm.Service), ("service.detection", gm.Detection),
                 ("service.admission", gm.Admission), ("service.admission.weights", gm.Weights),
-                ("service.retry", gm.Retry), ("service.route", gm.Route), ("service.route.check", gm.AnswerCheck)):
+                ("service.retry", gm.Retry), ("service.route", gm.Route), ("service.route.check", gm.AnswerCheck),
+                ("organisation", gm.Organisation)):
             for attribute in dataclasses.fields(kind):
                 key = attribute.metadata.get("key")
                 if key and attribute.metadata["is_list"]:
@@ -201,6 +218,15 @@
         expected[("service.admission", "shortWorkSlots")] = "1"  # None stands for it
         self.assertEqual(defaults, expected)
 
+    def test_problems_show_no_key(self) -> None:
+        """Guards against an error message that shows an organisation's key."""
+        for keys in (["secret key"], ["secret-key", "secret-key"]):
+            problems = organisations(gm.Organisation(name="a", keys=keys)).validate()
+            self.assertNotEqual(problems, [])
+            for problem in problems:
+                self.assertNotIn("secret-key", str(problem))
+                self.assertNotIn("secret key", str(problem))
+
     def test_required_keys(self) -> None:
         """Guards against a service without a declared floor."""
         self.assertRaises(TypeError, gm.Service, name="a", upstreams=1, slots=1)
