--- a/review/stand-ins-2/fleet.py
+++ b/review/stand-ins-2/fleet.py
@@ -8,6 +8,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -634,6 +635,10 @@
                 process.kill()
         for process in self.processes:
             process.wait()
+        if os.environ.get("KEEP_LOGS"):
+            print(self.folder)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(folder, case, bounds=None):
@@ -648,8 +653,6 @@
             await asyncio.wait_for(case(fleet), 115)
         finally:
             fleet.end()
-            if os.environ.get("KEEP_LOGS"):
-                print(fleet.folder)
 
     try:
         asyncio.run(run())
