Move the store's form of a node record to its own module

Cause: DirectoryControl.cpp has grown large; the form of the records in the store had no test of its own. No behaviour changes.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -4,7 +4,6 @@
 #include "Log.h"
 #include "NodeRecordJson.h"
 #include "RunningMetrics.h"
-#include "TomlSections.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
@@ -50,34 +49,6 @@
     return settings;
 }
 
-std::string toJson(const NodeRecord& record)
-{
-    Json json { { "incarnation", toString(record.incarnation) }, { "startedAt", record.startedAt },
-        { "relay", record.relayAddress }, { "region", record.location.region },
-        { "dataCentre", record.location.dataCentre } };
-    return json.dump();
-}
-
-std::optional<NodeRecord> parseRecord(const StoredObject& object)
-{
-    Json json = Json::parse(object.value, nullptr, false);
-    auto text = [&](const char* name) {
-        auto it = json.is_object() ? json.find(name) : json.end();
-        return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
-    };
-    auto incarnation = parseId128(text("incarnation"));
-    if (!incarnation || !isAddress(text("relay")) || !json.contains("startedAt")
-        || !json["startedAt"].is_number_unsigned())
-        return std::nullopt;
-    NodeRecord record;
-    record.name = object.name;
-    record.incarnation = *incarnation;
-    record.startedAt = json["startedAt"].get<uint64_t>();
-    record.relayAddress = text("relay");
-    record.location = { text("region"), text("dataCentre") };
-    return record;
-}
-
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -364,7 +335,7 @@
         m_isRegistering = false;
         if (!stored)
             return log(LogLevel::Warning, "directory.register", stored.error());
-        if (auto record = parseRecord(stored.value())) {
+        if (auto record = parseNodeRecord(stored.value())) {
             if (record->incarnation == m_incarnation) {
                 m_recordVersion = stored.value().version;
                 return;
@@ -396,7 +367,7 @@
         }
         std::vector<NodeRecord> records;
         for (const StoredObject& object : result.value()) {
-            if (auto record = parseRecord(object))
+            if (auto record = parseNodeRecord(object))
                 records.push_back(std::move(*record));
         }
         if (m_directory->mergeAll(records, currentInstant()))
@@ -437,7 +408,7 @@
         if (!stored)
             return;
         const NodeRecord* known = m_directory->find(node);
-        auto record = parseRecord(stored.value());
+        auto record = parseNodeRecord(stored.value());
         bool isReplaced = known && record && record->incarnation != known->incarnation;
         if (isReplaced)
             return; // a new process of this node has registered since
@@ -453,7 +424,7 @@
 {
     std::string kind = recordKind(m_settings.location.region);
     m_store->get(kind, m_settings.nodeName, [this, kind](const Result<StoredObject>& stored) {
-        auto record = stored ? parseRecord(stored.value()) : std::nullopt;
+        auto record = stored ? parseNodeRecord(stored.value()) : std::nullopt;
         if (!record || record->incarnation != m_incarnation)
             return;
         m_store->remove(kind, m_settings.nodeName, stored.value().version, [](const Result<uint64_t>& result) {
@@ -479,7 +450,7 @@
         std::vector<ListedRecord> listed;
         bool isChanged = false;
         for (const StoredObject& object : result.value()) {
-            auto record = parseRecord(object);
+            auto record = parseNodeRecord(object);
             if (!record)
                 continue;
             isChanged = m_directory->merge(*record, currentInstant()) || isChanged;
