Acknowledge a departure only when the store holds it (DRAIN)

What callers saw: an upstream deregistered, which was acknowledged; all nodes were killed and started again; a heartbeat from before arrived late, and all nodes sent the upstream orders. Those that it had begun when it exited were lost.

Cause: the acknowledgement was given before the departure was anywhere that outlives the processes (it was in the memory of the node and of its peers), and a node that had started believed the first announcement, though it didn't know its history.

Change: a departure is believed at once and acknowledged when the store holds it (DepartureStore, one object a node beside the records of its region); else 503 after 0.8 s, and the write is repeated. The list that each node reads when it starts contains the object. Before it has read it, a node believes no announcement that its upstream serves; if the store is away, none that arrives in the first 3 s. The admin server can hold a response until its result is there.

Why this works: whatever ends after the acknowledgement, the next process of the node finds the departure before it believes a heartbeat. A late write of the store names the version that it replaces, so it comes first or does nothing.

Lint, DepartureStoreTests, NodeRecordJsonTests, AdminServerTests pass.

--- a/src/node/AdminServer.cpp
+++ b/src/node/AdminServer.cpp
@@ -70,6 +70,56 @@
     respondJson(message, status, { { "error", text } });
 }
 
+// The response to a call whose result may come later. The connection may end before it does.
+class PendingResponse {
+public:
+    explicit PendingResponse(SoupServerMessage* message)
+        : m_message(shareObject(message))
+    {
+        for (const char* signal : { "finished", "disconnected" })
+            g_signal_connect(message, signal, G_CALLBACK(&PendingResponse::handleEnd), this);
+    }
+    PendingResponse(const PendingResponse&) = delete;
+    PendingResponse& operator=(const PendingResponse&) = delete;
+    ~PendingResponse() { g_signal_handlers_disconnect_by_data(m_message.get(), this); }
+
+    void respond(const Result<void>& result)
+    {
+        if (m_hasEnded || std::exchange(m_isAnswered, true))
+            return;
+        respondResult(m_message.get(), result);
+        if (m_isPaused)
+            soup_server_message_unpause(m_message.get());
+    }
+
+    // Holds the message until the result is there.
+    void pauseUnlessAnswered()
+    {
+        if (m_isAnswered)
+            return;
+        m_isPaused = true;
+        soup_server_message_pause(m_message.get());
+    }
+
+private:
+    static void handleEnd(SoupServerMessage*, gpointer self) { static_cast<PendingResponse*>(self)->m_hasEnded = true; }
+
+    ObjectHandle<SoupServerMessage> m_message;
+    bool m_isPaused = false;
+    bool m_isAnswered = false;
+    bool m_hasEnded = false; // nobody waits for the response any more
+};
+
+// Passes the call on and responds with its result.
+template <typename Call>
+void respondWithResultOf(
+    SoupServerMessage* message, const std::function<void(const Call&, AdminReply)>& callback, const Call& call)
+{
+    auto pending = std::make_shared<PendingResponse>(message);
+    callback(call, [pending](const Result<void>& result) { pending->respond(result); });
+    pending->pauseUnlessAnswered();
+}
+
 } // namespace
 
 Result<Announcement> parseAnnouncement(std::string_view text)
@@ -205,9 +255,9 @@
         bool isHealthy = m_callbacks.isHealthy();
         respond(message, isHealthy ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain", "");
     } else if (const auto* announcement = std::get_if<Announcement>(&call->value())) {
-        respondResult(message, m_callbacks.announce(*announcement));
+        respondWithResultOf(message, m_callbacks.announce, *announcement);
     } else {
-        respondResult(message, m_callbacks.depart(std::get<Departure>(call->value())));
+        respondWithResultOf(message, m_callbacks.depart, std::get<Departure>(call->value()));
     }
     return true;
 }
@@ -236,7 +286,7 @@
     if (path == "/announce") {
         auto announcement = parseAnnouncement(body);
         if (announcement)
-            respondResult(message, m_callbacks.announce(announcement.value()));
+            respondWithResultOf(message, m_callbacks.announce, announcement.value());
         else
             respondResult(message, announcement.error());
     } else if (path.starts_with(operationPrefix) && path.ends_with(resolveSuffix)
--- a/src/node/AdminServer.h
+++ b/src/node/AdminServer.h
@@ -53,20 +53,23 @@
     std::string reason;
 };
 
+// Sends the response to a call, at once or later, on the task that created the server. Must be called once.
+using AdminReply = std::function<void(const Result<void>&)>;
+
 // Connects the server to the node. All callbacks run on the task that created the server. `decodeCall` and
 // `depart` may be empty, all others must be set.
 struct AdminCallbacks {
     std::function<bool()> isHealthy;
     std::function<std::string()> metrics;
     std::function<std::string()> status; // JSON
-    std::function<Result<void>(const Announcement&)> announce;
+    std::function<void(const Announcement&, AdminReply)> announce;
     std::function<std::string()> operations; // JSON
     std::function<Result<void>(const Resolution&)> resolve; // NotFound when no unresolved operation has this id
     // Decodes a call in the platform's format. Returns an empty optional when the request is not such a call.
     std::function<std::optional<Result<PlatformCall>>(
         std::string_view method, std::string_view path, std::string_view body)>
         decodeCall {};
-    std::function<Result<void>(const Departure&)> depart {};
+    std::function<void(const Departure&, AdminReply)> depart {};
 };
 
 // Serves in the thread-default main context of the task that creates it.
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -580,7 +580,8 @@
     callbacks.isHealthy = [this] { return !m_isStopping && m_configuration->isReady(); };
     callbacks.metrics = [this] { return metricsPage(); };
     callbacks.status = [this] { return statusJson(); };
-    callbacks.announce = [this](const Announcement& announcement) { return onAnnouncement(announcement); };
+    callbacks.announce
+        = [this](const Announcement& announcement, const AdminReply& reply) { reply(onAnnouncement(announcement)); };
     callbacks.operations = [this] { return operationsJson(); };
     callbacks.resolve = [this](const Resolution& resolution) -> Result<void> {
         auto id = parseId128(resolution.operation);
--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -31,6 +31,9 @@
 constexpr Duration lostNodeTimeout = 8s; // a node that answers no notice for this long is considered gone
 constexpr uint32_t failedNoticesUntilLost = 5; // minimum, besides lostNodeTimeout
 constexpr size_t peersComparedWhenIsolated = 2;
+// How late an announcement may arrive. One that arrives later after the start of this node was sent after that start,
+// so its sender had not announced before that it leaves.
+constexpr Duration announcementDelayLimit = 3s;
 constexpr size_t neighboursComparedAtStart = 2; // two, as one of them may have just started as well
 constexpr std::string_view recordKindPrefix = "nodes-"; // followed by the region: one object kind per region
 
@@ -67,6 +70,7 @@
     , m_freshness(std::make_shared<SharedFreshness>(m_settings.keyRevocationBound))
     , m_freshnessKeeper(m_freshness, m_startedAt)
     , m_upstream(m_settings.upstreamService, m_settings.upstreamAddress)
+    , m_trustsAnnouncements(m_settings.isFleetFirstStart) // there is no history
     , m_burstShare(m_startedAt, m_settings.isFleetFirstStart)
     , m_burstFrom(m_burstShare.availableFrom())
 {
@@ -89,6 +93,7 @@
         log(LogLevel::Warning, "store.restored", { { "era", era } });
         Instant now = currentInstant();
         m_needsRepair = true;
+        m_departureStore->storeRestored();
         m_nextRepair = now + (m_election.isFirstWatcher(*m_directory, now) ? repairDelay : secondRepairDelay);
     });
     m_relay = std::make_unique<RelayClient>(
@@ -101,9 +106,15 @@
     DepartureExchange::Options departureOptions { m_settings.nodeName, m_settings.location.region, m_incarnation };
     m_departures = std::make_unique<DepartureExchange>(
         departureOptions, *m_relay, *m_directory, m_random(), [this](const UpstreamDeparture& departure) {
+            m_departureStore->keep(departure);
             if (m_upstream.applyDeparture(departure))
                 applyUpstream();
         });
+    DepartureStoreOptions storeOptions;
+    storeOptions.kind = recordKind(m_settings.location.region);
+    storeOptions.node = m_settings.nodeName;
+    m_departureStore = std::make_unique<DepartureStore<StoreClient>>(
+        *m_store, storeOptions, DepartureStore<StoreClient>::Clocks { &currentInstant, &currentWallTime }, m_random());
     m_configuration
         = std::make_unique<ConfigurationDriver<StoreClient>>(m_store.get(), *m_relay, m_random(), configurationHooks(),
             currentInstant(), syncSettings(), m_adapter ? m_adapter->configuration : ConfigurationFormat {});
@@ -376,6 +387,7 @@
         updateQuotaNodes();
         if (!isOwn)
             return;
+        loadDepartures(result.value());
         notifyRegion({ m_directory->self() });
         compareWithNeighbours();
     });
@@ -401,6 +413,21 @@
         readRegion(region);
 }
 
+void DirectoryControl::loadDepartures(std::span<const StoredObject> listed)
+{
+    for (const UpstreamDeparture& it : m_departureStore->load(listed)) {
+        if (m_upstream.applyDeparture(it))
+            applyUpstream();
+    }
+    m_departureStore->removeLeftovers(listed, [this](std::string_view node) {
+        const NodeRecord* record = m_directory->find(node);
+        return record && record->status != NodeStatus::Left;
+    });
+    m_trustsAnnouncements = true;
+    if (m_upstream.current())
+        applyUpstream();
+}
+
 void DirectoryControl::removeRecord(const std::string& region, const std::string& node)
 {
     std::string kind = recordKind(region);
@@ -747,6 +774,9 @@
     if (m_configuration->isReady() && m_freshnessKeeper.update(now))
         m_configuration->readStore();
     m_departures->tick(now);
+    m_departureStore->tick();
+    if (!m_trustsAnnouncements && now - m_startedAt >= announcementDelayLimit)
+        trustLaterAnnouncements();
     sendNotices(now);
 }
 
@@ -764,11 +794,25 @@
     m_configuration->setRole(role);
 }
 
-Result<void> DirectoryControl::onAnnouncement(const Announcement& announcement)
+// An announcement that the upstream leaves is acknowledged once the departure is kept; any other one at once.
+void DirectoryControl::onAnnouncement(const Announcement& announcement, const AdminReply& reply)
+{
+    Result<void> result = applyAnnouncement(announcement);
+    bool isDeparture = announcement.state == UpstreamState::Draining && !announcement.instance.empty()
+        && announcement.processStartedAt;
+    if (!result || !isDeparture)
+        return reply(result);
+    UpstreamDeparture departure { announcement.instance, announcement.processStartedAt };
+    if (m_upstream.applyDeparture(departure))
+        applyUpstream();
+    m_departures->share(departure);
+    m_departureStore->keep(departure, reply);
+}
+
+Result<void> DirectoryControl::applyAnnouncement(const Announcement& announcement)
 {
     if (m_isStopping)
         return Error { ErrorCode::Unavailable, "announce", announcement.name, "this node is shutting down" };
-    auto before = m_upstream.current();
     ReportResult reportResult
         = m_upstream.applyReport({ announcement.instance, announcement.service, announcement.address,
             announcement.processStartedAt, announcement.sequence, announcement.slots, announcement.state });
@@ -787,7 +831,7 @@
     return boost::outcome_v2::success();
 }
 
-Result<void> DirectoryControl::onDeparture(const Departure& departure)
+void DirectoryControl::onDeparture(const Departure& departure, const AdminReply& reply)
 {
     auto now = static_cast<uint64_t>(currentWallTime().time_since_epoch().count());
     UpstreamDeparture left = m_upstream.departureOf(departure.instance, departure.processStartedAt, now);
@@ -796,15 +840,28 @@
     else
         log(LogLevel::Info, "upstream.departure_unknown", { { "upstream", departure.instance } });
     m_departures->share(left);
-    return boost::outcome_v2::success();
+    m_departureStore->keep(left, reply);
+}
+
+// Those that have arrived so far may be from before a departure, so the next one decides.
+void DirectoryControl::trustLaterAnnouncements()
+{
+    m_trustsAnnouncements = true;
+    log(LogLevel::Warning, "upstream.departures_unknown", { { "node", m_settings.nodeName } });
 }
 
 // Other nodes know the upstream by the name of its node, which stays the same when the process is replaced.
 void DirectoryControl::applyUpstream()
 {
     const UpstreamReport& report = *m_upstream.current();
-    if (auto departure = m_upstream.currentDeparture())
+    // Without its history, this node cannot tell whether the announcement is one from before a departure.
+    bool isUncertain = !m_trustsAnnouncements && report.state != UpstreamState::Draining;
+    if (isUncertain)
+        return;
+    if (auto departure = m_upstream.currentDeparture()) {
         m_departures->share(*departure);
+        m_departureStore->keep(*departure);
+    }
     m_node->setUpstream({ m_settings.nodeName, report.service, report.address, report.slots, report.state,
         report.instance, report.processStartedAt });
     UpstreamRecord record { m_settings.nodeName, report.service, report.slots, report.state, 0, 1 };
@@ -884,8 +941,9 @@
     callbacks.isHealthy = [this] { return !m_isStopping && m_configuration->isReady(); };
     callbacks.metrics = [this] { return metricsPage(); };
     callbacks.status = [this] { return statusJson(); };
-    callbacks.announce = [this](const Announcement& announcement) { return onAnnouncement(announcement); };
-    callbacks.depart = [this](const Departure& departure) { return onDeparture(departure); };
+    callbacks.announce
+        = [this](const Announcement& announcement, const AdminReply& reply) { onAnnouncement(announcement, reply); };
+    callbacks.depart = [this](const Departure& departure, const AdminReply& reply) { onDeparture(departure, reply); };
     callbacks.operations = [] { return std::string("[]"); };
     callbacks.resolve = [](const Resolution& resolution) -> Result<void> {
         return Error { ErrorCode::NotFound, "operations.resolve", resolution.operation, "" };
@@ -908,6 +966,8 @@
     set("configuration_age_ms", "Age of the news that the configuration is the newest; -1: none.",
         static_cast<double>(m_freshnessKeeper.ageMs(currentInstant())));
     setRunningMetrics(m_metrics, *m_running);
+    set("departures_unacknowledged_count", "Departures of the upstream whose acknowledgement waits for the store.",
+        static_cast<double>(m_departureStore->waitingCount()));
     set("log_lines_dropped_count", "Log lines dropped since the start.", static_cast<double>(droppedLogLines()));
     return m_metrics.print();
 }
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -5,7 +5,8 @@
 // watch the store. They send every node of the region a notice each second, with digests of their directory and
 // configuration. A node whose digest differs requests the records that it lacks (anti-entropy).
 //
-// Store calls per node: two at start, one at stop. Each watcher also keeps one watch open, renewed every few seconds.
+// Store calls per node: two at start, one at stop, one for each departure of its upstream and one when that is over.
+// Each watcher also keeps one watch open, renewed every few seconds.
 // When the store has come back from an older copy, the watchers compare its records with what they know and write those
 // that it has lost.
 #pragma once
@@ -18,6 +19,7 @@
 #include "core/UpstreamRegistration.h"
 #include "CrashSuspects.h"
 #include "DepartureExchange.h"
+#include "DepartureStore.h"
 #include "FreshnessKeeper.h"
 #include "Metrics.h"
 #include "Node.h"
@@ -76,6 +78,7 @@
     void readRegion(const std::string& region);
     void readOwnRegion(Instant now); // does nothing if the region was already read or its next attempt is not due
     void readOtherRegions();
+    void loadDepartures(std::span<const StoredObject> listed); // what the list of the own region says of them
     void removeRecord(const std::string& region, const std::string& node);
     void removeOwnRecord();
     void repairRecords(Instant now); // after the store began a new era
@@ -101,8 +104,10 @@
     // [SECTION] Events
     void tick();
     void updateWatchRole(Instant now); // starts or stops watching the store as the election decides
-    Result<void> onAnnouncement(const Announcement&);
-    Result<void> onDeparture(const Departure&);
+    void onAnnouncement(const Announcement&, const AdminReply&);
+    Result<void> applyAnnouncement(const Announcement&);
+    void onDeparture(const Departure&, const AdminReply&);
+    void trustLaterAnnouncements(); // after the store has been away since the start
     void applyUpstream();
     void onRoutes(const std::shared_ptr<const RouteTable>&, const std::shared_ptr<void>& inUse);
     void finishStop(const std::string& reason);
@@ -137,6 +142,8 @@
     bool m_hasOrganisations = false; // the configuration in force has some
     UpstreamRegistration m_upstream;
     std::unique_ptr<DepartureExchange> m_departures;
+    std::unique_ptr<DepartureStore<StoreClient>> m_departureStore;
+    bool m_trustsAnnouncements = false; // whether an announcement that the upstream serves is believed
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
     uint16_t m_adminPort = 0;
     std::atomic<uint64_t> m_configurationDigest { 0 }; // digest of the configuration; read by the entry workers
--- a/tests/AdminServerTests.cpp
+++ b/tests/AdminServerTests.cpp
@@ -37,10 +37,14 @@
         return { .isHealthy = [this] { return isHealthy.load(); },
             .metrics = [] { return std::string("a_total 1\n"); },
             .status = [] { return std::string(R"({"node": "n1"})"); },
-            .announce = [this](const Announcement& announcement) -> Result<void> {
-                announcements.push_back(announcement);
-                return boost::outcome_v2::success();
-            },
+            .announce =
+                [this](const Announcement& announcement, AdminReply reply) {
+                    announcements.push_back(announcement);
+                    if (announcement.state == UpstreamState::Draining)
+                        heldReplies.push_back(std::move(reply));
+                    else
+                        reply(boost::outcome_v2::success());
+                },
             .operations = [] { return std::string(R"([{"id": "7"}])"); },
             .resolve = [this](const Resolution& resolution) -> Result<void> {
                 resolutions.push_back(resolution);
@@ -93,6 +97,7 @@
     std::atomic<bool> isHealthy { true };
     std::vector<Announcement> announcements; // written on the task, read after the response has arrived
     std::vector<Resolution> resolutions;
+    std::vector<AdminReply> heldReplies; // of draining announcements; used on the task
 };
 
 std::string withReplacement(std::string text, std::string_view from, std::string_view to)
@@ -158,6 +163,37 @@
     BOOST_TEST(announcements.size() == 1U);
 }
 
+// Guards against an acknowledgement that is sent before the node can give it, or never.
+BOOST_AUTO_TEST_CASE(responseWaitsForItsResult)
+{
+    const std::string draining = withReplacement(validAnnouncement, "ready", "draining");
+    for (const auto& [result, status] : { std::pair<Result<void>, guint>(boost::outcome_v2::success(), 200U),
+             { Error { ErrorCode::Unavailable, "", "", "" }, 503U } }) {
+        auto response = std::async(std::launch::async, [&] { return sendRequest("POST", "/announce", draining); });
+        BOOST_TEST(sendRequest("GET", "/healthz").status == 200U); // the server goes on
+        bool isHeld = false;
+        while (!isHeld)
+            runOnTask([&] { isHeld = !heldReplies.empty(); });
+        BOOST_TEST((response.wait_for(100ms) == std::future_status::timeout));
+        runOnTask([&, it = result] { std::exchange(heldReplies, {}).front()(it); });
+        BOOST_TEST(response.get().status == status);
+    }
+}
+
+// Guards against a crash when the caller, or the server, is gone before the result is there.
+BOOST_AUTO_TEST_CASE(resultAfterTheEndOfTheConnectionIsDropped)
+{
+    const std::string draining = withReplacement(validAnnouncement, "ready", "draining");
+    auto response = std::async(std::launch::async, [&] { return sendRequest("POST", "/announce", draining); });
+    bool isHeld = false;
+    while (!isHeld)
+        runOnTask([&] { isHeld = !heldReplies.empty(); });
+    runOnTask([&] { server.reset(); });
+    BOOST_TEST(response.get().status == 0U);
+    g_log_set_always_fatal(G_LOG_LEVEL_CRITICAL); // libsoup reports the use of a message without a connection
+    runOnTask([&] { std::exchange(heldReplies, {}).front()(boost::outcome_v2::success()); });
+}
+
 // Guards against unbounded memory use by request bodies, with Content-Length and chunked.
 BOOST_AUTO_TEST_CASE(bodiesAreBounded)
 {
--- a/tests/NodeRecordJsonTests.cpp
+++ b/tests/NodeRecordJsonTests.cpp
@@ -1,5 +1,6 @@
 // Node records as they lie in the object store, beside entries of other kinds and of other writers.
 #define BOOST_TEST_MODULE NodeRecordJson
+#include "node/DepartureJson.h"
 #include "node/NodeRecordJson.h"
 
 #include <boost/test/unit_test.hpp>
@@ -35,6 +36,14 @@
     BOOST_TEST((*record == makeRecord()));
 }
 
+// Guards against a fleet that takes the departures of a node for a node, as those of an earlier release read the list
+// too.
+BOOST_AUTO_TEST_CASE(departuresAreNoRecord)
+{
+    BOOST_TEST(!parseNodeRecord(objectWith(toJson(DepartureObject { { { "i-1", 1000 } }, {} }))));
+    BOOST_TEST(!parseDepartureObject(toJson(makeRecord())));
+}
+
 // Guards against an entry of another writer that ends the process.
 RC_BOOST_PROP(damagedRecordsAreReadOrIgnored, (const std::string& junk))
 {
--- a/tests/departure_tests.py
+++ b/tests/departure_tests.py
@@ -1,36 +1,23 @@
-"""Departures of upstreams that a node acknowledges, around restarts of that node, on the interface of the users' platform.
+"""Departures of upstreams that a node acknowledges, around restarts of that node and of all nodes, on the interface of
+the users' platform.
 
-Usage: departure_tests.py SOURCE_DIR BINARY. The stand-ins of the platform are those of review/common.
+Usage: departure_tests.py SOURCE_DIR BINARY. The stand-ins of the platform are those of departure_stand_ins.py.
 """
 
 import os
+import signal
 import sys
 import tempfile
 import threading
 import time
 
-SOURCE, BINARY = sys.argv[1:3]
-sys.path.insert(0, os.path.join(SOURCE, "review", "common"))
-import bench  # noqa: E402
+from departure_stand_ins import bench
 
 HOST = "hulo84.example"
 DRAIN_S = 2.5  # a request reaches no upstream later than that after the acknowledgement
 ORDERS = 12
 
 
-class Machine(bench.Machine):
-    """A machine with the binary under test."""
-
-    def start(self, bootstrap=True):
-        path = os.path.join(self.fleet.folder, f"{self.name}.toml")
-        with open(os.path.join(SOURCE, "deploy", "node.toml"), encoding="utf-8") as file:
-            text = bench.render(file.read(), [self.settings(bootstrap)])
-        with open(path, "w", encoding="utf-8") as file:
-            file.write(text)
-        with open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab") as log:
-            self.child = bench.subprocess.Popen([BINARY, "serve", "--settings", path], stdout=log, stderr=log)
-
-
 class Play:
     """Two machines of one service; the upstream of the first one is about to leave, and the test sends its heartbeats."""
 
@@ -55,6 +42,18 @@
         self.first.wait_ready()
         time.sleep(1.5)  # peers return what the node has forgotten within this time
 
+    def restart_all(self, first_signal=signal.SIGKILL, store=None):
+        """Ends all nodes at the same time and starts them again. `store`: state of the store meanwhile."""
+        self.first.signal(first_signal)
+        self.second.kill()
+        self.first.child.wait()
+        self.fleet.store.state = store
+        for it in self.fleet.machines:
+            it.start(bootstrap=False)
+        self.fleet.store.state = None
+        for it in self.fleet.machines:
+            it.wait_ready()
+
     def late_beats(self, count=2):
         """Heartbeats that the upstream sent while it was ready, and that are held up on the way."""
         return [self.upstream.beat_body() for _ in range(count)]
@@ -130,6 +129,57 @@
     return killed_at_the_acknowledgement(play, drain)
 
 
+def end_of_all_nodes(play, leave=lambda play: play.upstream.leave(play.control()), first_signal=signal.SIGKILL):
+    late = play.late_beats()
+    problems = expect(leave(play) == 200, "not acknowledged")
+    play.restart_all(first_signal)
+    problems += orders_after_late_beats(play, late)
+    time.sleep(DRAIN_S)
+    return problems + expect(not play.orders_at_the_upstream(), "orders reached it some seconds after the restart")
+
+
+def end_of_all_nodes_after_draining(play):
+    return end_of_all_nodes(play, drain)
+
+
+def end_of_all_nodes_one_of_them_planned(play):
+    return end_of_all_nodes(play, first_signal=signal.SIGTERM)
+
+
+def end_of_all_nodes_after_a_lost_answer_of_the_store(play):
+    play.fleet.store.lost_answers = 1
+    return end_of_all_nodes(play)
+
+
+def departure_while_the_store_is_away(play):
+    late = play.late_beats()
+    play.fleet.store.state = "refuses"
+    problems = expect(play.upstream.leave(play.control()) != 200, "acknowledged though it isn't kept")
+    problems += expect(not play.orders_at_the_upstream(), "orders reached an upstream that said that it leaves")
+    play.fleet.store.state = None
+    time.sleep(4)  # the node tries again within this time
+    problems += expect(play.upstream.leave(play.control()) == 200, "not acknowledged with the store back")
+    play.restart_all()
+    return problems + orders_after_late_beats(play, late)
+
+
+def restart_while_the_store_is_away(play):
+    """A sound upstream gets work again, and one that leaves gets none."""
+    play.fleet.store.state = "silent"
+    play.first.kill()
+    play.first.start(bootstrap=False)
+    play.first.wait_ready()
+    for _ in range(8):
+        play.upstream.beat(play.control())
+        time.sleep(0.5)
+    problems = expect(play.orders_at_the_upstream(), "a sound upstream gets no orders")
+    drain(play)
+    time.sleep(0.5)
+    problems += expect(not play.orders_at_the_upstream(), "orders reached an upstream that says that it is draining")
+    play.fleet.store.state = None
+    return problems
+
+
 def late_departure_of_an_earlier_start(play):
     upstream = play.upstream
     earlier = upstream.born
@@ -153,12 +203,13 @@
 
 
 def main():
-    bench.Machine = Machine
     problems = []
     threads = [threading.Thread(target=run, args=(case, problems)) for case in (
         departure_after_restart, departure_before_restart, draining_before_restart,
         departure_while_the_peers_are_away, killed_at_the_acknowledgement, killed_when_told_of_draining,
-        late_departure_of_an_earlier_start)]
+        end_of_all_nodes, end_of_all_nodes_after_draining, end_of_all_nodes_one_of_them_planned,
+        end_of_all_nodes_after_a_lost_answer_of_the_store, departure_while_the_store_is_away,
+        restart_while_the_store_is_away, late_departure_of_an_earlier_start)]
     for it in threads:
         it.start()
     for it in threads:
