--- a/tests/DepartureProcessTests.cpp
+++ b/tests/DepartureProcessTests.cpp
@@ -23,3 +23,13 @@
 // or all nodes have, and an announcement comes late; and against a late departure that retires the next start.
 // The cases are in departure_tests.py.
 BOOST_AUTO_TEST_CASE(acknowledgedDeparturesOutliveRestarts) { runProgram("departure_tests.py"); }
+
+// Guards against the same under faults of the nodes and of the store that overlap. One seed; more by hand, see
+// CONTRIBUTING.md.
+BOOST_AUTO_TEST_CASE(departuresHoldUnderOverlappingFaults)
+{
+    const std::string seed = "2";
+    const std::string count = "1";
+    const std::string seconds = "15";
+    runProgram("departure_soak.py", { seed, count, seconds });
+}
