Rely on peers for departures when a node restarts while the store is away

Cause: with the store silent or refusing, a restarted node believed no announcement for 3 s and until the next heartbeat. Change: a node that is answered by a peer which ran before it tells all nodes of its region that it has started, and relies on what they have returned 0.5 s later. Without such a peer, 3 s as before.

--- a/src/node/DirectoryControl.cpp
+++ b/src/node/DirectoryControl.cpp
@@ -34,6 +34,9 @@
 // How late an announcement may arrive. One that arrives later after the start of this node was sent after that start,
 // so its sender had not announced before that it leaves.
 constexpr Duration announcementDelayLimit = 3s;
+// A peer that has run for so much longer than this node has seen its earlier process. Clocks may differ by seconds.
+constexpr std::chrono::milliseconds survivorAge = 5s;
+constexpr Duration departureReturnTime = 500ms; // in which peers that hear of a restart return the node's departures
 constexpr size_t neighboursComparedAtStart = 2; // two, as one of them may have just started as well
 constexpr std::string_view recordKindPrefix = "nodes-"; // followed by the region: one object kind per region
 
@@ -423,9 +426,7 @@
         const NodeRecord* record = m_directory->find(node);
         return record && record->status != NodeStatus::Left;
     });
-    m_trustsAnnouncements = true;
-    if (m_upstream.current())
-        applyUpstream();
+    trustAnnouncements();
 }
 
 void DirectoryControl::removeRecord(const std::string& region, const std::string& node)
@@ -608,6 +609,7 @@
     ReplyResult outcome = handleReply(*m_directory, *reply, now);
     if (outcome.isChanged)
         directoryChanged();
+    findSurvivors(peer, now);
     if (const NodeRecord* record = m_directory->find(peer); outcome.next && record)
         send(NodeRecord(*record), std::move(*outcome.next));
 }
@@ -627,6 +629,7 @@
     NoticeResult outcome = handleNotice(*m_directory, notice, now);
     if (outcome.isChanged)
         directoryChanged();
+    findSurvivors(notice.sender, now);
     m_configuration->digestSeen(notice.sender, notice.configurationDigest);
     outcome.reply.configurationDigest = m_configurationDigest;
     outcome.reply.proof = m_freshness->proof(now);
@@ -775,8 +778,7 @@
         m_configuration->readStore();
     m_departures->tick(now);
     m_departureStore->tick();
-    if (!m_trustsAnnouncements && now - m_startedAt >= announcementDelayLimit)
-        trustLaterAnnouncements();
+    recoverDepartures(now);
     sendNotices(now);
 }
 
@@ -843,11 +845,38 @@
     m_departureStore->keep(left, reply);
 }
 
-// Those that have arrived so far may be from before a departure, so the next one decides.
-void DirectoryControl::trustLaterAnnouncements()
+void DirectoryControl::recoverDepartures(Instant now)
+{
+    if (m_trustsAnnouncements)
+        return;
+    bool haveSurvivorsAnswered = m_survivorsToldAt && now - *m_survivorsToldAt >= departureReturnTime;
+    if (haveSurvivorsAnswered) {
+        log(LogLevel::Info, "upstream.departures_from_peers", { { "node", m_settings.nodeName } });
+        trustAnnouncements();
+    } else if (now - m_startedAt >= announcementDelayLimit) {
+        // Announcements that have arrived so far may be from before a departure, so the next one decides.
+        log(LogLevel::Warning, "upstream.departures_unknown", { { "node", m_settings.nodeName } });
+        m_trustsAnnouncements = true;
+    }
+}
+
+void DirectoryControl::findSurvivors(const std::string& peer, Instant now)
+{
+    const NodeRecord* record = m_directory->find(peer);
+    const NodeRecord& self = m_directory->self();
+    bool isSurvivor = record && record->location.region == self.location.region
+        && record->startedAt + static_cast<uint64_t>(survivorAge.count()) <= self.startedAt;
+    if (m_trustsAnnouncements || m_survivorsToldAt || !isSurvivor)
+        return;
+    m_survivorsToldAt = now;
+    notifyRegion({ self });
+}
+
+void DirectoryControl::trustAnnouncements()
 {
     m_trustsAnnouncements = true;
-    log(LogLevel::Warning, "upstream.departures_unknown", { { "node", m_settings.nodeName } });
+    if (m_upstream.current())
+        applyUpstream();
 }
 
 // Other nodes know the upstream by the name of its node, which stays the same when the process is replaced.
--- a/src/node/DirectoryControl.h
+++ b/src/node/DirectoryControl.h
@@ -107,7 +107,9 @@
     void onAnnouncement(const Announcement&, const AdminReply&);
     Result<void> applyAnnouncement(const Announcement&);
     void onDeparture(const Departure&, const AdminReply&);
-    void trustLaterAnnouncements(); // after the store has been away since the start
+    void recoverDepartures(Instant now); // while the store is away: from peers, or by waiting
+    void findSurvivors(const std::string& peer, Instant now); // the peer has just been heard
+    void trustAnnouncements(); // the departures are known now
     void applyUpstream();
     void onRoutes(const std::shared_ptr<const RouteTable>&, const std::shared_ptr<void>& inUse);
     void finishStop(const std::string& reason);
@@ -144,6 +146,7 @@
     std::unique_ptr<DepartureExchange> m_departures;
     std::unique_ptr<DepartureStore<StoreClient>> m_departureStore;
     bool m_trustsAnnouncements = false; // whether an announcement that the upstream serves is believed
+    std::optional<Instant> m_survivorsToldAt; // peers that knew this node's earlier process know of its restart
     std::vector<std::unique_ptr<AdminServer>> m_servers; // the first one listens on the admin address
     uint16_t m_adminPort = 0;
     std::atomic<uint64_t> m_configurationDigest { 0 }; // digest of the configuration; read by the entry workers
--- a/tests/departure_tests.py
+++ b/tests/departure_tests.py
@@ -180,6 +180,18 @@
     return problems
 
 
+def departure_before_a_restart_without_the_store(play):
+    """The store holds the departure but is away when the node starts again; the peer returns it."""
+    late = play.late_beats()
+    problems = expect(play.upstream.leave(play.control()) == 200, "not acknowledged")
+    time.sleep(bench.CONTACT_S)  # the peer has run for a while when the node starts again
+    play.fleet.store.state = "silent"
+    play.restart()
+    problems += orders_after_late_beats(play, late)
+    play.fleet.store.state = None
+    return problems
+
+
 def late_departure_of_an_earlier_start(play):
     upstream = play.upstream
     earlier = upstream.born
@@ -209,7 +221,7 @@
         departure_while_the_peers_are_away, killed_at_the_acknowledgement, killed_when_told_of_draining,
         end_of_all_nodes, end_of_all_nodes_after_draining, end_of_all_nodes_one_of_them_planned,
         end_of_all_nodes_after_a_lost_answer_of_the_store, departure_while_the_store_is_away,
-        restart_while_the_store_is_away, late_departure_of_an_earlier_start)]
+        restart_while_the_store_is_away, departure_before_a_restart_without_the_store, late_departure_of_an_earlier_start)]
     for it in threads:
         it.start()
     for it in threads:
