Compare the times of leftover departures without overflow

Cause: an entry of another writer may hold any time; the age of an object was computed by subtraction, which overflows. Change: the time is compared with the oldest that is kept, in milliseconds. Result: oddTimesOfLeftoversAreCompared fails before under the sanitizer (signed integer overflow) and passes now, with all of DepartureStoreTests.

--- a/src/node/DepartureStore.h
+++ b/src/node/DepartureStore.h
@@ -281,11 +281,14 @@
 template <typename Predicate>
 void DepartureStore<Store>::removeLeftovers(std::span<const StoredObject> listed, Predicate isLive)
 {
+    // Compared in milliseconds, so that no time that another writer has put in can overflow.
+    WallTime oldest
+        = m_clocks.wall() - std::chrono::duration_cast<std::chrono::milliseconds>(m_options.leftoverLifetime);
     std::vector<const StoredObject*> leftovers;
     for (const StoredObject& it : listed) {
         auto node = nodeOfDepartureObject(it.name);
         auto object = node ? parseDepartureObject(it.value) : std::nullopt;
-        bool isOld = object && m_clocks.wall() - object->writtenAt >= m_options.leftoverLifetime;
+        bool isOld = object && object->writtenAt <= oldest;
         if (isOld && *node != m_options.node && !isLive(*node))
             leftovers.push_back(&it);
     }
--- a/tests/DepartureStoreTests.cpp
+++ b/tests/DepartureStoreTests.cpp
@@ -251,6 +251,18 @@
     BOOST_TEST(listed().at(0).name == "_departures.node-b");
 }
 
+// Guards against a time of another writer that overflows: such an object is old or new, and the others are judged.
+BOOST_AUTO_TEST_CASE(oddTimesOfLeftoversAreCompared)
+{
+    memory.put(kind, "_departures.first", R"({"departures":[],"writtenAt":-9223372036854775808})", 0,
+        [](const Result<uint64_t>&) {});
+    memory.put(kind, "_departures.last", R"({"departures":[],"writtenAt":9223372036854775807})", 0,
+        [](const Result<uint64_t>&) {});
+    store->removeLeftovers(listed(), [](std::string_view) { return false; });
+    BOOST_TEST_REQUIRE(listed().size() == 1U);
+    BOOST_TEST(listed().front().name == "_departures.last");
+}
+
 // Guards against an object that is taken for a node's record, or the reverse.
 BOOST_AUTO_TEST_CASE(objectNamesAreNoNodeNames)
 {
